Count a time-out against a server only if it was waited for

Their time-outs passed for silent servers: within 1.3 s of the first such finding, nodes that told each other had left all 16 servers alone, the origin among them, and the origin's limit had been cut to its least. So everybody was refused, which only brought more retries.

Now a time-out tells of a server only after more than half of the aim, work aside: the bar that hits have to pass before they count as crowding.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -852,8 +852,10 @@
         let fetched = outcome.note == Some(CacheNote::Miss);
         let stale_from = self.stale_from();
         let Some(s) = self.servers.get_mut(&place.1) else { return };
+        // Some clients wait for less than the usual answer takes: such a time-out tells of the client alone.
+        let unanswered = status == Status::TimedOut && wait > CROWDED;
         // No answer, though others that were sent later have been answered, and not for its work.
-        let silent = status == Status::TimedOut && wait > CROWDED && s.answered > now - time;
+        let silent = unanswered && s.answered > now - time;
         let stale = idle >= IDLE && (silent || status == Status::Broken);
         if stale {
             self.stale = Some((stale_from.min(idle), now));
@@ -874,10 +876,10 @@
         let failed = (status == Status::Error && known && !write && self.late.value <= LATE)
             || (status == Status::Broken && !stale)
             || (status == Status::Unreachable && !scarce)
-            || (status == Status::TimedOut && !alive);
+            || (unanswered && !alive);
         let crowded = match status {
             Status::Overloaded => true,
-            Status::TimedOut => known || s.limit.value < 1.0,
+            Status::TimedOut => unanswered && (known || s.limit.value < 1.0),
             _ => hit && wait > CROWDED,
         };
         if crowded {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -548,6 +548,37 @@
     assert_eq!(node.home(4000, keys[2]), id(1), "and back after its rest");
 }
 
+/// Clients that waited for less than an answer takes, and asked again at once: their time-outs passed for dead
+/// servers, and all servers, the origin among them, were left alone for as long as such clients came.
+#[test]
+fn clients_that_hardly_wait_do_not_take_servers_out() {
+    let mut telling = settings();
+    telling.cache = CacheMode::Aside { origin_kind: "origin".into() };
+    telling.limits.peers = true;
+    let mut node = Node::with(telling, 1, fleet(6).into_iter().chain([origin()]).collect());
+    warm_up(&mut node);
+    let keys: Vec<u64> = (0..400).filter(|&n| node.home(1_000 + n, n) == id(1)).collect();
+    let mut told = 0;
+    for (n, &key) in (10_000..10_400).zip(keys.iter().cycle()) {
+        let first = node.request(NewRequest { left: 0.06, ..read(n, key) });
+        assert_eq!(sent(&first).len(), 1, "request {n} finds a server");
+        // Every other one gets as far as the origin.
+        let at_origin = n % 2 == 0 && {
+            let next = node.outcome(n, Status::Absent, None);
+            assert_eq!(sent(&next), [id(998)], "request {n} finds the origin");
+            true
+        };
+        node.now += 0.05;
+        let actions = node.outcome(n, Status::TimedOut, None);
+        told += actions.iter().filter(|a| matches!(a, Action::Tell(_))).count();
+        if !at_origin {
+            node.pass(0.05);
+        }
+    }
+    assert_eq!(told, 0);
+    assert_eq!(node.home(20_000, keys[0]), id(1), "who waits longer finds the key at its home");
+}
+
 /// With two attempts in all, a second cache lacked the key in vain after a first that took no connection.
 #[test]
 fn in_aside_mode_the_last_attempt_of_a_read_goes_to_the_origin() {
