Leave a server alone for resets only if it answers nothing between them

Two such at one server within 2 s, at whichever nodes, had all nodes leave it alone for 4 s: 1.2 servers a second by the logs, so about five of the fifteen at any time.

A reset now counts against its server only if no answer has come from it since the reset before. A process that has died still shows at once by connections that it refuses.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -215,6 +215,8 @@
     /// When it last answered, and when the latest attempt was sent that it has answered.
     answered: Seconds,
     newest: Seconds,
+    /// When a connection to it in use was last reset.
+    reset: Seconds,
 }
 
 impl Server {
@@ -872,13 +874,16 @@
             // As much as twice the usual at most: a few slow servers must not pass for a slow fleet.
             self.wait.add(wait.min((2.0 * self.wait.value).max(BUSY / 4.0)), now);
         }
+        // One reset tells of its connection alone: of its server, one after another with no answer between.
+        let reset = status == Status::Broken && !stale;
         // A time-out tells of its server only where that has answered nobody since, of the origin otherwise.
         let alive = s.answered > now - time;
         // Errors of unknown keys or while fetches fail are the origin's; connections may just be scarce.
         let failed = (status == Status::Error && known && !write && self.late.value <= LATE)
-            || (status == Status::Broken && !stale)
+            || (reset && s.answered <= s.reset)
             || (status == Status::Unreachable && !scarce)
             || (unanswered && !alive);
+        s.reset = if reset { now } else { s.reset };
         let crowded = match status {
             Status::Overloaded => true,
             Status::TimedOut => unanswered && !silent && (known || s.limit.value < 1.0),
@@ -898,7 +903,7 @@
                 self.out.push(Action::Tell(place.1 .0.as_bytes().to_vec()));
             }
             self.found_failing(&place.1);
-        } else if !failed && status != Status::TimedOut {
+        } else if !failed && !reset && status != Status::TimedOut {
             s.answered = now;
         }
         // Where caches don't tell hits, answers of unknown keys stand for fetches: a few errors, alone, would
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -602,6 +602,27 @@
     assert_eq!(together, 6, "as many as before may be fetched at once");
 }
 
+/// A few connections a second were reset, at every server alike. Two of one server within two seconds had all
+/// nodes leave it alone, a third of the fleet at any time, and its keys were missed elsewhere.
+#[test]
+fn resets_of_single_connections_do_not_take_out_a_server_that_answers() {
+    let mut telling = settings();
+    telling.limits.peers = true;
+    let mut node = Node::with(telling, 1, fleet(6));
+    warm_up(&mut node);
+    let keys: Vec<u64> = (0..400).filter(|&n| node.home(1_000 + n, n) == id(1)).collect();
+    for (n, &key) in (2_000..2_040).zip(&keys) {
+        assert_eq!(sent(&node.request(read(n, key))), [id(1)], "request {n} goes home");
+        node.now += 0.01;
+        let actions = if n % 2 == 0 { node.outcome(n, Status::Broken, None) } else { node.serve(n) };
+        assert!(!actions.iter().any(|a| matches!(a, Action::Tell(_))), "{actions:?}");
+        if n % 2 == 0 {
+            node.serve(n);
+        }
+        node.pass(0.1);
+    }
+}
+
 /// With two attempts in all, a second cache lacked the key in vain after a first that took no connection.
 #[test]
 fn in_aside_mode_the_last_attempt_of_a_read_goes_to_the_origin() {
