Follow discovery to its new address on SIGHUP instead of ending

It now reads `discovery` from the file again and goes on with its watch there, the whole list first, since versions need not go on. A file that makes no sense changes nothing.

The test ends with a dead node without the mend.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -52,9 +52,7 @@
     /// Reads the environment and the file that `LB_CONFIG` names.
     pub fn load() -> Result<Self, ConfigError> {
         let var = |name| std::env::var(name).ok();
-        let path = var("LB_CONFIG").ok_or_else(|| wrong("LB_CONFIG is not set"))?;
-        let text = std::fs::read_to_string(&path).map_err(|e| wrong(format!("{path}: {e}")))?;
-        let json: Value = serde_json::from_str(&text).map_err(|e| wrong(format!("{path}: {e}")))?;
+        let json = file()?;
         let told = |name: &str, variable| {
             let text = var(variable).or_else(|| json[name].as_str().map(str::to_owned));
             text.ok_or_else(|| wrong(format!("{name} is missing")))
@@ -98,6 +96,19 @@
     }
 }
 
+/// What the file that `LB_CONFIG` names holds now.
+fn file() -> Result<Value, ConfigError> {
+    let path = std::env::var("LB_CONFIG").map_err(|_| wrong("LB_CONFIG is not set"))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| wrong(format!("{path}: {e}")))?;
+    serde_json::from_str(&text).map_err(|e| wrong(format!("{path}: {e}")))
+}
+
+/// Where discovery is by a file that has been replaced; the environment only knows where it was at the start.
+pub fn replaced_discovery() -> Result<SocketAddr, ConfigError> {
+    let json = file()?;
+    address("discovery", json["discovery"].as_str().unwrap_or_default())
+}
+
 fn address(name: &str, text: &str) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| wrong(format!("{name}: an address with a port expected, got `{text}`")))
 }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -63,7 +63,7 @@
 }
 
 pub struct Discovery {
-    addr: SocketAddr,
+    addr: Cell<SocketAddr>,
     /// That of the newest list; `None` before the first one.
     version: Cell<Option<u64>>,
     watch: RefCell<Option<JoinHandle<()>>>,
@@ -71,7 +71,23 @@
 
 impl Discovery {
     pub fn new(addr: SocketAddr, known: Option<&List>) -> Self {
-        Discovery { addr, version: Cell::new(known.map(|list| list.version)), watch: RefCell::default() }
+        Discovery {
+            addr: Cell::new(addr),
+            version: Cell::new(known.map(|list| list.version)),
+            watch: RefCell::default(),
+        }
+    }
+
+    /// Discovery is somewhere else from now on: a watch that is on goes on there, with the whole list first.
+    pub fn move_to(&self, addr: SocketAddr, host: &Rc<Host>) {
+        if self.addr.replace(addr) == addr {
+            return;
+        }
+        self.version.set(None);
+        // One that has broken the module asks for again by itself.
+        if self.watch.borrow().as_ref().is_some_and(|watch| !watch.is_finished()) {
+            self.subscribe(host);
+        }
     }
 
     /// Watches for changes, and tells the host each until the watch breaks. It replaces an older watch.
@@ -115,7 +131,8 @@
 
     /// Calls are rare, so each has a connection of its own: none can turn out stale.
     async fn ask(&self, watch: Option<(u64, Duration)>) -> Result<List, CallError> {
-        let stream = TcpStream::connect(self.addr).await?;
+        let addr = self.addr.get();
+        let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let uri = match watch {
@@ -125,7 +142,7 @@
             None => "/registry/instances".to_owned(),
         };
         let request = Request::get(uri)
-            .header(header::HOST, self.addr.to_string())
+            .header(header::HOST, addr.to_string())
             .header(header::CONNECTION, "close")
             .body(Empty::<Bytes>::new())
             .map_err(|_| CallError::Rotten)?;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,9 +14,9 @@
 use std::rc::Rc;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use tokio::task::LocalSet;
+use tokio::task::{spawn_local, LocalSet};
 
 use config::Config;
 use host::Host;
@@ -41,11 +41,13 @@
 
 async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let hangup = signal(SignalKind::hangup())?;
     let listener =
         TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     println!("{} listens on {}", config.name, listener.local_addr()?);
     let (stop, stopping) = watch::channel(false);
     let host = Host::start(&config).await?;
+    spawn_local(follow_discovery(hangup, Rc::clone(&host)));
     let serving = server::serve(listener, Rc::clone(&host), &config, stopping);
     let stopped = async {
         tokio::select! {
@@ -58,3 +60,14 @@
     tokio::join!(serving, stopped);
     Ok(())
 }
+
+/// At each hang-up the configuration may have been replaced, and discovery moved. A file that makes no sense
+/// changes nothing: a node in service must not end by it.
+async fn follow_discovery(mut hangup: Signal, host: Rc<Host>) {
+    while hangup.recv().await.is_some() {
+        match config::replaced_discovery() {
+            Ok(addr) => host.discovery().move_to(addr, &host),
+            Err(what) => eprintln!("tackstage: {}", what.to_string().replace('\n', " ")),
+        }
+    }
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -247,7 +247,7 @@
 pub struct Node {
     pub addr: SocketAddr,
     child: Child,
-    _config: ConfigFile,
+    config: ConfigFile,
 }
 
 impl Node {
@@ -258,7 +258,7 @@
         let mut line = String::new();
         BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
         let addr = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        Node { addr: addr.expect("the address it listens on"), child, _config: config }
+        Node { addr: addr.expect("the address it listens on"), child, config }
     }
 
     pub fn client(&self) -> Client {
@@ -273,7 +273,17 @@
     }
 
     pub fn terminate(&self) {
-        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+
+    /// Replaces its configuration file and tells it so.
+    pub fn reconfigure(&self, text: &str) {
+        std::fs::write(&self.config.0, text).expect("the file can be replaced");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let killed = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(killed.expect("kill runs").success());
     }
 
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -226,6 +226,26 @@
     assert_eq!(node.get("/health/ready").status(), 503);
 }
 
+/// The default for the signal is to end the process.
+#[test]
+fn on_sighup_the_node_follows_discovery_to_where_the_file_says() {
+    let (old, new) = (Server::start(|_| hit("old")), Server::start(|_| hit("new")));
+    let (node, before) = start(&[entry("s-1", old.addr, "active")]);
+    before.server.next();
+    node.reconfigure("{");
+    assert_eq!(node.get("/read/a").body, "old", "a file that makes no sense changes nothing");
+    let after = Discovery::start();
+    // Its versions need not go on from the old one's.
+    after.publish(0, &list(0, true, &[entry("s-2", new.addr, "active")]).to_string());
+    node.reconfigure(&config(after.server.addr, &[]).to_string());
+    assert_eq!(after.server.next().path(), "/registry/instances", "the whole list comes first");
+    after.heard(0);
+    assert_eq!(node.get("/read/a").body, "new");
+    after.publish(1, &list(1, false, &[entry("s-2", old.addr, "active")]).to_string());
+    after.heard(1);
+    assert_eq!(node.get("/read/a").body, "old", "and changes there are followed");
+}
+
 // ---- Bad input ------------------------------------------------------------------------------------------
 
 #[test]
