Close on peers that send nothing or never finish within what they are owed

A connection without a whole head was kept for 30 s, and a request whose body never ended for as long as its own `X-Deadline-Ms` asked, an hour at the most. The terms owe such a peer an error or a close within 3 s of connecting; until then it holds a descriptor that a client could use. A head now has 2.2 s, the shortest that idle connections may be closed after and some, and a body half a second more.

The test waits for 60 s without the mend.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -32,8 +32,11 @@
 /// What a request may have spent on its way here, in the kernel and in this node's queue, since the client's
 /// clock started; and what its answer needs back.
 const TRANSIT: Duration = Duration::from_millis(10);
-/// A connection that has sent no whole head for so long is closed, one between requests too.
-const HEAD_TIME: Duration = Duration::from_secs(30);
+/// A connection that has sent no whole head for so long is closed, one between requests too: no sooner than
+/// after 2 s by the terms, and who sends nothing or never ends is owed a close within 3 s of connecting.
+const HEAD_TIME: Duration = Duration::from_millis(2200);
+/// A body comes with its head or right behind it; one that does not is not waited for past those 3 s.
+const BODY_TIME: Duration = Duration::from_millis(500);
 const LONGEST_HEAD: usize = 32 << 10;
 /// Longest wait that is believed of a client.
 const LONGEST_WAIT: u64 = 3_600_000;
@@ -242,7 +245,7 @@
         if body.size_hint().lower() > LONGEST_BODY as u64 {
             return Err(Rejected(StatusCode::PAYLOAD_TOO_LARGE));
         }
-        let body = timeout(wait, Limited::new(body, LONGEST_BODY).collect()).await;
+        let body = timeout(wait.min(BODY_TIME), Limited::new(body, LONGEST_BODY).collect()).await;
         let body = body.map_err(|_| Rejected(StatusCode::REQUEST_TIMEOUT))?.map_err(|e| {
             let long = e.is::<LengthLimitError>();
             Rejected(if long { StatusCode::PAYLOAD_TOO_LARGE } else { StatusCode::BAD_REQUEST })
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -289,6 +289,25 @@
     assert_eq!(client.read().map(|answer| answer.status()), Some(408));
 }
 
+/// A peer that sends nothing, or half of something, held its connection for 30 s, or for as long as it said itself
+/// that it would wait. The limit here is far above the 3 s that such a peer is owed, and far below those.
+#[test]
+fn peers_that_never_finish_a_request_are_not_waited_for() {
+    let (node, _discovery) = start(&[entry("s-1", refusing(), "active")]);
+    let began = Instant::now();
+    let head = "PUT /store/a HTTP/1.1\r\nHost: a\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 60000\r\n";
+    let peers = ["", "GET /read/a HT", head, &format!("{head}Content-Length: 9\r\n\r\nhalf")];
+    let mut clients: Vec<Client> = peers.iter().map(|_| node.client()).collect();
+    for (client, text) in clients.iter_mut().zip(peers) {
+        client.write(text);
+    }
+    for (client, text) in clients.iter_mut().zip(peers) {
+        let status = client.read().map(|answer| answer.status());
+        assert!(status.is_none_or(|status| status == 408), "{text:?} is told {status:?}");
+    }
+    assert!(began.elapsed() < PATIENCE / 2, "{:?}", began.elapsed());
+}
+
 #[test]
 fn garbage_datagrams_are_dropped() {
     let cache = Server::start(|_| hit("value"));
