Don't count resets against a server that has answered in the last 0.25 s

A reset now also needs that nothing has been answered for 0.25 s. A process that takes connections and resets them all still shows, after that time.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -69,6 +69,8 @@
 /// Weight of a new observation in smoothed figures, and the time that rare ones are set against.
 const SMOOTH: f64 = 0.1;
 const RARE: Seconds = 10.0;
+/// A server that has answered within this time lives, however many of its connections are reset.
+const MUTE: Seconds = 0.25;
 
 const TICK_TOKEN: TimerToken = TimerToken(0);
 
@@ -220,6 +222,10 @@
 }
 
 impl Server {
+    fn lives(&self, now: Seconds) -> bool {
+        now - self.answered <= MUTE
+    }
+
     /// Share of its capacity that a just-started server can be trusted with.
     fn warmth(&self, now: Seconds, guarantees: &Guarantees) -> f64 {
         let started = self.entry.started.unwrap_or(f64::NEG_INFINITY);
@@ -874,13 +880,13 @@
             // As much as twice the usual at most: a few slow servers must not pass for a slow fleet.
             self.wait.add(wait.min((2.0 * self.wait.value).max(BUSY / 4.0)), now);
         }
-        // One reset tells of its connection alone: of its server, one after another with no answer between.
+        // A reset tells of its connection alone: of its server, one after another where no answer comes.
         let reset = status == Status::Broken && !stale;
         // A time-out tells of its server only where that has answered nobody since, of the origin otherwise.
         let alive = s.answered > now - time;
         // Errors of unknown keys or while fetches fail are the origin's; connections may just be scarce.
         let failed = (status == Status::Error && known && !write && self.late.value <= LATE)
-            || (reset && s.answered <= s.reset)
+            || (reset && s.answered <= s.reset && !s.lives(now))
             || (status == Status::Unreachable && !scarce)
             || (unanswered && !alive);
         s.reset = if reset { now } else { s.reset };
