Call off attempts that their server has lost and make them elsewhere

A read's attempt is now called off after half of its aim, work aside, if its server has answered one sent later, and the request goes on to its next place, within the budget for repeats. Nothing but reads: what must not run twice waits as before. A server that is merely slow answers in turn and is left be.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -448,6 +448,7 @@
         }
         self.refresh_slots();
         self.refresh_allowances();
+        self.call_off_lost();
         self.follow_roster();
         if self.now >= self.next_close {
             self.close_drained();
@@ -835,13 +836,40 @@
         r.missed |= last || outcome.status == Status::Absent;
         match outcome.status {
             Status::Absent => self.place(id),
-            Status::Cancelled | Status::Void => self.end(id),
+            Status::Void => self.end(id),
             // A failed fetch fails elsewhere too.
             Status::Error if to_origin => self.end(id),
             _ => self.place(id),
         }
     }
 
+    /// Calls off attempts that their servers seem to have lost, so that their requests can still be served.
+    fn call_off_lost(&mut self) {
+        if !self.settings.limits.cancel {
+            return;
+        }
+        let mut lost = Vec::new();
+        for (id, r) in self.requests.iter().filter(|(_, r)| !r.ended && !r.streaming) {
+            let class = &self.settings.classes[r.class];
+            let Some(a) = r.attempts.last().filter(|a| a.status.is_none()) else { continue };
+            let passed = self.servers.get(&a.server).is_some_and(|s| s.newest > a.sent);
+            let waited = self.now - a.sent - SLOW_CORE * r.work > CROWDED * class.aim;
+            let time = self.now + self.hit_time.value < r.deadline;
+            let again = r.attempts.len() < self.settings.limits.max_attempts as usize;
+            if class.effect == Effect::Safe && passed && waited && time && again {
+                lost.push(*id);
+            }
+        }
+        for id in lost {
+            if !self.ration.allows_one(&self.budget, self.now, self.settings.round) {
+                return;
+            }
+            let Some(r) = self.requests.get(&id) else { continue };
+            let attempt = AttemptId(r.attempts.len() as u32 - 1);
+            self.out.push(Action::Cancel { request: id, attempt });
+        }
+    }
+
     /// Idle time from which a connection is taken for dead, until the suspicion has faded.
     fn stale_from(&self) -> Seconds {
         self.stale.map_or(f64::MAX, |(from, at)| from * ((self.now - at) / RARE).exp2())
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -623,6 +623,32 @@
     }
 }
 
+/// An attempt that its server had lost kept its request waiting until nothing else could be tried.
+#[test]
+fn a_lost_attempt_is_called_off_and_made_again_while_there_is_time() {
+    let mut node = Node::with(settings(), 1, fleet(6));
+    warm_up(&mut node);
+    let keys: Vec<u64> = (0..400).filter(|&n| node.home(1_000 + n, n) == id(1)).take(2).collect();
+    node.request(read(2_000, keys[0]));
+    let cancel = Action::Cancel { request: RequestId(2_000), attempt: AttemptId(0) };
+    assert!(!node.pass(0.4).contains(&cancel), "the server may be slow");
+    node.request(read(2_001, keys[1]));
+    node.now += 0.01;
+    node.serve(2_001);
+    assert!(node.pass(0.1).contains(&cancel), "it has answered a later one");
+    let again = node.outcome(2_000, Status::Cancelled, None);
+    assert_eq!(sent(&again).len(), 1, "and the request is sent on");
+    assert_ne!(sent(&again), [id(1)], "elsewhere, as some servers lose all of one class");
+    node.serve(2_000);
+    // What must not run twice waits for its answer.
+    node.request(NewRequest { class: Some(UNSAFE), ..read(3_000, keys[0]) });
+    node.now += 0.01;
+    node.request(read(3_001, keys[1]));
+    node.now += 0.01;
+    node.serve(3_001);
+    assert!(!node.pass(0.4).iter().any(|a| matches!(a, Action::Cancel { .. })));
+}
+
 /// With two attempts in all, a second cache lacked the key in vain after a first that took no connection.
 #[test]
 fn in_aside_mode_the_last_attempt_of_a_read_goes_to_the_origin() {
