Send a class elsewhere for a while from a server that loses it

A server that has lost two attempts of a class, with no answer to that class between, is passed over for it for 2 s, unless nothing else is below its cap; its other classes stay.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -219,9 +219,26 @@
     newest: Seconds,
     /// When a connection to it in use was last reset.
     reset: Seconds,
+    /// Classes of which it has lost the last attempts: how many, and until when they go elsewhere.
+    lost: BTreeMap<usize, (u32, Seconds)>,
 }
 
 impl Server {
+    /// A single attempt may get lost anywhere; two of a class with no answer between are the server's.
+    fn on_class(&mut self, class: usize, lost: bool, now: Seconds) {
+        if !lost {
+            self.lost.remove(&class);
+            return;
+        }
+        let (count, until) = self.lost.entry(class).or_default();
+        *count += 1;
+        *until = if *count > 1 { now + AGREED } else { *until };
+    }
+
+    fn loses(&self, class: usize, now: Seconds) -> bool {
+        self.lost.get(&class).is_some_and(|(_, until)| now < *until)
+    }
+
     fn lives(&self, now: Seconds) -> bool {
         now - self.answered <= MUTE
     }
@@ -531,6 +548,7 @@
         let slow = through && self.wait.value > BUSY;
         let share = if r.over_quota { 1.0 + OVER * self.hit_time.value / self.tightest_aim } else { 1.0 };
         let first = (r.draw * self.places(r.key)) as u64;
+        let mut spare = None;
         for place in 0..MAX_JUMPS {
             let takes = |id: &ServerId, hash| self.takes(&self.servers[id], r.key, place, hash);
             let Some(id) = self.slots.owner(r.key, first + place, takes) else { continue };
@@ -552,10 +570,13 @@
                 continue;
             }
             if f64::from(server.in_flight) < self.cap(server) {
-                return Some(id.clone());
+                if !server.loses(r.class, self.now) {
+                    return Some(id.clone());
+                }
+                spare = spare.or(Some(id));
             }
         }
-        None
+        spare.cloned()
     }
 
     /// Rules two and three, for one more attempt at this server.
@@ -775,7 +796,7 @@
         let Some(attempt) = attempt else { return };
         attempt.status = Some(outcome.status);
         let (server, to_origin, idle) = (attempt.server.clone(), attempt.to_origin, attempt.idle);
-        let (key, write, ended) = (r.key, r.write, r.ended);
+        let (key, write, ended, class, sent) = (r.key, r.write, r.ended, r.class, attempt.sent);
         let aim = self.settings.classes[r.class].aim;
         let wait = (outcome.elapsed - SLOW_CORE * r.work).max(0.0) / aim;
         self.in_flight -= 1;
@@ -785,6 +806,15 @@
         let known = at_origin || self.knows(&place);
         self.unreachable.add(f64::from(outcome.status == Status::Unreachable), self.now);
         self.observe(&place, &outcome, known, write, idle, wait);
+        if let Some(s) = self.servers.get_mut(&place.1) {
+            match outcome.status {
+                // Called off while its request goes on: `call_off_lost`.
+                Status::Cancelled if !ended => s.on_class(class, true, self.now),
+                Status::TimedOut if s.newest > sent && wait > CROWDED => s.on_class(class, true, self.now),
+                Status::Success | Status::Absent | Status::Error => s.on_class(class, false, self.now),
+                _ => {}
+            }
+        }
         if self.fetching.get(&key).is_some_and(|(leader, _)| to_origin && *leader == outcome.request) {
             // The fetch is over, well or badly: those who waited for it ask their cache server.
             for waiter in self.fetching.remove(&key).unwrap_or_default().1 {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -649,6 +649,30 @@
     assert!(!node.pass(0.4).iter().any(|a| matches!(a, Action::Cancel { .. })));
 }
 
+/// Some caches answered no request of one class for ten seconds, and all others as ever.
+#[test]
+fn a_class_that_a_server_loses_goes_elsewhere_for_a_while_and_other_classes_stay() {
+    let mut node = Node::with(settings(), 1, fleet(6));
+    warm_up(&mut node);
+    let keys: Vec<u64> = (0..400).filter(|&n| node.home(1_000 + n, n) == id(1)).take(4).collect();
+    let other = |n, key| NewRequest { class: Some(KEYED), ..read(n, key) };
+    for (n, &key) in (2_000..).step_by(10).zip(&keys[..2]) {
+        assert_eq!(sent(&node.request(read(n, key))), [id(1)], "one may be chance");
+        node.now += 0.01;
+        node.request(other(n + 1, keys[2]));
+        node.now += 0.01;
+        node.serve(n + 1);
+        assert!(node.pass(0.5).iter().any(|a| matches!(a, Action::Cancel { .. })));
+        node.outcome(n, Status::Cancelled, None);
+        node.serve(n);
+    }
+    assert_ne!(node.home(3_000, keys[3]), id(1), "two in a row are the server's");
+    assert_eq!(sent(&node.request(other(3_001, keys[3]))), [id(1)], "which answers other classes");
+    node.serve(3_001);
+    node.pass(3.0);
+    assert_eq!(node.home(3_002, keys[3]), id(1), "and is tried again");
+}
+
 /// With two attempts in all, a second cache lacked the key in vain after a first that took no connection.
 #[test]
 fn in_aside_mode_the_last_attempt_of_a_read_goes_to_the_origin() {
