Hold a request for a quarter of its client's own time at the most

A request that finds no place is held for a quarter of its class's aim before it is refused. The time held now goes by the client's own wait where that is shorter.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -40,7 +40,7 @@
 const SCARCE: f64 = 0.05;
 /// What a request may work on a slow core, against its hint: heavy requests must not pass for crowding.
 const SLOW_CORE: f64 = 1.5;
-/// Part of the aim for which a request is held when all servers are full.
+/// Part of the aim, or of its client's time if that is less, for which a request is held when all are full.
 const PATIENCE: f64 = 0.25;
 /// The retry budget where the settings state none: repeats must not become a storm.
 const OWN_BUDGET: Budget = Budget { span: 10.0, free: 20.0, ratio: 0.1 };
@@ -686,7 +686,9 @@
             return self.send(id, &server, to_origin);
         }
         let Some(r) = self.requests.get(&id) else { return };
-        let patience = self.settings.classes[r.class].aim * if r.over_quota { 0.1 } else { PATIENCE };
+        // Who waits for less than the aim must hear of a refusal while it can still ask again.
+        let time = self.settings.classes[r.class].aim.min(r.deadline - r.arrived);
+        let patience = time * if r.over_quota { 0.1 } else { PATIENCE };
         let hopeless = !r.attempts.is_empty() && !self.servers.iter().any(|(id, s)| self.may_send(r, id, s));
         if hopeless || self.now >= r.arrived + patience || self.now >= r.deadline {
             self.end(id);
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -130,6 +130,14 @@
 
 // ---- Rule one ----
 
+/// Clients that waited for less than the aim heard of their refusal when their time was over.
+#[test]
+fn a_request_is_held_for_no_more_than_part_of_its_own_time() {
+    let mut node = Node::with(settings(), 1, vec![]);
+    assert!(!refused(&node.request(NewRequest { left: 0.2, ..read(1, 1) })));
+    assert!(refused(&node.pass(0.06)), "a quarter of its time is over, of the aim it is not");
+}
+
 #[test]
 fn every_request_is_answered_before_its_deadline_even_if_nothing_answers() {
     for class in [READ, KEYED, UNSAFE] {
