Don't take a fetch through a server for a lost attempt

Where servers fetch what they lack, a miss takes as long as the origin does while hits are answered: by the new rule it would be called off, and two would have its class sent elsewhere. Only keys known to be kept are judged so there.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -808,11 +808,14 @@
         let known = at_origin || self.knows(&place);
         self.unreachable.add(f64::from(outcome.status == Status::Unreachable), self.now);
         self.observe(&place, &outcome, known, write, idle, wait);
+        let fetching = !known && self.settings.cache == CacheMode::Through;
         if let Some(s) = self.servers.get_mut(&place.1) {
             match outcome.status {
                 // Called off while its request goes on: `call_off_lost`.
                 Status::Cancelled if !ended => s.on_class(class, true, self.now),
-                Status::TimedOut if s.newest > sent && wait > CROWDED => s.on_class(class, true, self.now),
+                Status::TimedOut if !fetching && s.newest > sent && wait > CROWDED => {
+                    s.on_class(class, true, self.now);
+                }
                 Status::Success | Status::Absent | Status::Error => s.on_class(class, false, self.now),
                 _ => {}
             }
@@ -880,11 +883,14 @@
         if !self.settings.limits.cancel {
             return;
         }
+        let through = self.settings.cache == CacheMode::Through;
         let mut lost = Vec::new();
         for (id, r) in self.requests.iter().filter(|(_, r)| !r.ended && !r.streaming) {
             let class = &self.settings.classes[r.class];
             let Some(a) = r.attempts.last().filter(|a| a.status.is_none()) else { continue };
-            let passed = self.servers.get(&a.server).is_some_and(|s| s.newest > a.sent);
+            // A fetch through a server takes its time, whatever hits are answered meanwhile.
+            let fetching = through && !self.knows(&(r.key, a.server.clone()));
+            let passed = !fetching && self.servers.get(&a.server).is_some_and(|s| s.newest > a.sent);
             let waited = self.now - a.sent - SLOW_CORE * r.work > CROWDED * class.aim;
             let time = self.now + self.hit_time.value < r.deadline;
             let again = r.attempts.len() < self.settings.limits.max_attempts as usize;
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -648,6 +648,14 @@
     assert_eq!(sent(&again).len(), 1, "and the request is sent on");
     assert_ne!(sent(&again), [id(1)], "elsewhere, as some servers lose all of one class");
     node.serve(2_000);
+    // A key that the server does not keep is being fetched through it, which takes its time.
+    let fetched = (500..900).find(|&n| sent(&node.request(read(4_000 + n, n))) == [id(1)]).unwrap();
+    node.now += 0.01;
+    node.request(read(2_002, keys[1]));
+    node.now += 0.01;
+    node.serve(2_002);
+    let cancel = Action::Cancel { request: RequestId(4_000 + fetched), attempt: AttemptId(0) };
+    assert!(!node.pass(0.4).contains(&cancel));
     // What must not run twice waits for its answer.
     node.request(NewRequest { class: Some(UNSAFE), ..read(3_000, keys[0]) });
     node.now += 0.01;
