--- a/src/balance.rs
+++ b/src/balance.rs
@@ -967,7 +967,9 @@
         } else if hit {
             s.limit.grow(load);
         }
-        if matches!(status, Status::Success | Status::Absent | Status::Error | Status::Overloaded) {
+        // What was called off or never sent is no sign of life.
+        let answer = matches!(status, Status::Success | Status::Absent | Status::Error | Status::Overloaded);
+        if answer {
             s.newest = s.newest.max(now - time);
         }
         if failed && now - time > s.quiet {
@@ -975,7 +977,7 @@
                 self.out.push(Action::Tell(place.1 .0.as_bytes().to_vec()));
             }
             self.found_failing(&place.1);
-        } else if !failed && !reset && status != Status::TimedOut {
+        } else if !failed && answer {
             s.answered = now;
         }
         // Where caches don't tell hits, answers of unknown keys stand for fetches: a few errors, alone, would
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -689,6 +689,25 @@
     assert_eq!(node.home(3_002, keys[3]), id(1), "and is tried again");
 }
 
+/// Attempts called off as their clients had left passed for answers, and hid that a server was silent.
+#[test]
+fn an_attempt_that_is_called_off_is_no_sign_of_life() {
+    let mut telling = settings();
+    telling.limits.peers = true;
+    let mut node = Node::with(telling, 1, fleet(6));
+    warm_up(&mut node);
+    let keys: Vec<u64> = (0..400).filter(|&n| node.home(1_000 + n, n) == id(1)).take(2).collect();
+    node.request(read(2_000, keys[0]));
+    node.now += 0.1;
+    node.request(read(2_001, keys[1]));
+    node.now += 0.1;
+    node.event(Event::Withdrawn(RequestId(2_001)));
+    node.outcome(2_001, Status::Cancelled, None);
+    node.now += 0.7;
+    let told = Action::Tell(id(1).0.as_bytes().to_vec());
+    assert!(node.outcome(2_000, Status::TimedOut, None).contains(&told));
+}
+
 /// With two attempts in all, a second cache lacked the key in vain after a first that took no connection.
 #[test]
 fn in_aside_mode_the_last_attempt_of_a_read_goes_to_the_origin() {
