--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -7,9 +7,13 @@
 use mallowpaddle::{RosterEntry, Seconds, ServerId, ServerState, Settings};
 use serde_json::Value;
 
+use crate::ops::MOST_CALLERS;
+
 /// Descriptors kept for all but clients and upstreams: standard streams, the reactor, signals, the listener,
 /// peers, discovery.
 const RESERVED_SOCKETS: usize = 24;
+/// The same for the operators' door: its listener, its callers and one that waits to be let in.
+const DOOR_SOCKETS: usize = MOST_CALLERS + 2;
 /// Held to be allowed where the configuration names no limit.
 const DEFAULT_SOCKETS: usize = 1024;
 /// Fewer can't carry a few clients and a few upstreams.
@@ -40,6 +44,8 @@
     /// Connections that upstreams may hold, and clients.
     pub upstream_sockets: usize,
     pub client_sockets: usize,
+    /// The operators' door, where there is one.
+    pub ops: Option<SocketAddr>,
     pub peer_listen: Option<SocketAddr>,
     /// By node number.
     pub peers: Vec<SocketAddr>,
@@ -53,10 +59,15 @@
     pub fn load() -> Result<Self, ConfigError> {
         let var = |name| std::env::var(name).ok();
         let json = file()?;
+        let may_tell = |name: &str, variable| match (var(variable), &json[name]) {
+            (None, Value::Null) => None,
+            (None, value) => Some(value.as_str().unwrap_or_default().to_owned()),
+            (variable, _) => variable,
+        };
         let told = |name: &str, variable| {
-            let text = var(variable).or_else(|| json[name].as_str().map(str::to_owned));
-            text.ok_or_else(|| wrong(format!("{name} is missing")))
+            may_tell(name, variable).ok_or_else(|| wrong(format!("{name} is missing")))
         };
+        let ops = may_tell("ops", "LB_OPS").map(|text| address("ops", &text)).transpose()?;
         let settings = mallowpaddle_settings::parse(&json["settings"]).map_err(wrong)?;
         let listed = |name: &str| match &json[name] {
             Value::Null => Ok(None),
@@ -71,7 +82,8 @@
                 )?
             }
         };
-        let upstream_sockets = (sockets - RESERVED_SOCKETS) / 2;
+        let reserved = RESERVED_SOCKETS + if ops.is_some() { DOOR_SOCKETS } else { 0 };
+        let upstream_sockets = (sockets - reserved) / 2;
         let known = match &json["known"] {
             Value::Null => None,
             value => Some(List::read(value).ok_or_else(|| wrong("known: a list of servers expected"))?),
@@ -83,7 +95,8 @@
             discovery: address("discovery", &told("discovery", "LB_DISCOVERY")?)?,
             seed: u64::from_str_radix(seed, 16).map_err(|e| wrong(format!("seed: {e}")))?,
             upstream_sockets,
-            client_sockets: sockets - RESERVED_SOCKETS - upstream_sockets,
+            client_sockets: sockets - reserved - upstream_sockets,
+            ops,
             peer_listen: listed("peer_listen")?,
             peers: peers
                 .iter()
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,6 +6,8 @@
 mod config;
 mod discovery;
 mod host;
+mod lifecycle;
+mod ops;
 mod peers;
 mod server;
 mod upstream;
@@ -15,11 +17,12 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
 use config::Config;
 use host::Host;
+use lifecycle::Lifecycle;
+use ops::Door;
 
 fn main() -> ExitCode {
     match start() {
@@ -44,18 +47,30 @@
     let hangup = signal(SignalKind::hangup())?;
     let listener =
         TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let door = match config.ops {
+        Some(ops) => {
+            Some(TcpListener::bind(ops).await.map_err(|e| format!("listen for operators on {ops}: {e}"))?)
+        }
+        None => None,
+    };
+    if let Some(door) = &door {
+        println!("{} listens for operators on {}", config.name, door.local_addr()?);
+    }
     println!("{} listens on {}", config.name, listener.local_addr()?);
-    let (stop, stopping) = watch::channel(false);
+    let lifecycle = Rc::new(Lifecycle::new());
     let host = Host::start(&config).await?;
+    if let Some(door) = door {
+        let calls = Door { host: Rc::clone(&host), lifecycle: Rc::clone(&lifecycle) };
+        spawn_local(ops::serve(door, calls));
+    }
     spawn_local(follow_discovery(hangup, Rc::clone(&host)));
-    let serving = server::serve(listener, Rc::clone(&host), &config, stopping);
+    let serving = server::serve(listener, Rc::clone(&host), &config, Rc::clone(&lifecycle));
     let stopped = async {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
-        // The receiver lives as long as `serving`, which is awaited below.
-        let _ = stop.send(true);
+        lifecycle.stop();
     };
     tokio::join!(serving, stopped);
     Ok(())
--- /dev/null
+++ b/node/src/ops.rs
@@ -0,0 +1,136 @@
+//! The operators' door: an address of its own, one call to a connection.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{header, Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::{sleep, timeout};
+
+use crate::host::Host;
+use crate::lifecycle::{Lifecycle, State};
+
+/// Callers at once. More come only where some hold connections without calling.
+pub const MOST_CALLERS: usize = 12;
+/// A call comes whole within this time of its connection; only then may its caller have to give way.
+const CALL_TIME: Duration = Duration::from_millis(25);
+/// Callers that never finish are not kept for longer.
+const LONGEST_CALL: Duration = Duration::from_secs(2);
+const LONGEST_HEAD: usize = 8 << 10;
+/// Pause when no descriptor is left for a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What the calls are about.
+pub struct Door {
+    pub host: Rc<Host>,
+    pub lifecycle: Rc<Lifecycle>,
+}
+
+/// Answers operators for as long as the node runs.
+pub async fn serve(listener: TcpListener, door: Door) {
+    let door = Rc::new(door);
+    let mut callers = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(_) => {
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        room(&mut callers).await;
+        let caller = spawn_local(attend(stream, Rc::clone(&door)));
+        callers.push_back((Instant::now(), caller));
+    }
+}
+
+/// Makes room for one more caller. The one that has been silent for longest gives way, but none that could not
+/// be heard yet.
+async fn room(callers: &mut VecDeque<(Instant, JoinHandle<()>)>) {
+    loop {
+        callers.retain(|(_, caller)| !caller.is_finished());
+        if callers.len() < MOST_CALLERS {
+            return;
+        }
+        let Some((came, _)) = callers.front() else { return };
+        let left = CALL_TIME.saturating_sub(came.elapsed());
+        if left.is_zero() {
+            if let Some((_, caller)) = callers.pop_front() {
+                caller.abort();
+                // The descriptor is free once the task has been dropped.
+                let _ = caller.await;
+            }
+        } else {
+            sleep(left).await;
+        }
+    }
+}
+
+async fn attend(stream: TcpStream, door: Rc<Door>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let response = door.respond(&request);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let call = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(LONGEST_CALL)
+        .max_buf_size(LONGEST_HEAD)
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(stream), service);
+    // An error is the caller's, who has gone or could not be understood and has been told so.
+    let _ = timeout(LONGEST_CALL * 2, call).await;
+}
+
+impl Door {
+    fn respond(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = request.uri().path();
+        let read = path == "/-/ready";
+        let known = read || matches!(path, "/-/drain" | "/-/resume");
+        let method = if read { Method::GET } else { Method::POST };
+        if !known {
+            return answer(StatusCode::NOT_FOUND, "no such call\n");
+        }
+        if *request.method() != method {
+            let mut response = answer(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n");
+            let allowed = HeaderValue::from_static(if read { "GET" } else { "POST" });
+            response.headers_mut().insert(header::ALLOW, allowed);
+            return response;
+        }
+        match path {
+            "/-/ready" => self.ready(),
+            "/-/drain" => self.changed(self.lifecycle.drain()),
+            _ => self.changed(self.lifecycle.resume()),
+        }
+    }
+
+    fn ready(&self) -> Response<Full<Bytes>> {
+        match self.lifecycle.state() {
+            State::Serving if self.host.ready() => answer(StatusCode::OK, "ready\n"),
+            State::Serving => answer(StatusCode::SERVICE_UNAVAILABLE, "no cache servers\n"),
+            state => answer(StatusCode::SERVICE_UNAVAILABLE, format!("{}\n", state.name())),
+        }
+    }
+
+    fn changed(&self, changed: bool) -> Response<Full<Bytes>> {
+        let status = if changed { StatusCode::OK } else { StatusCode::CONFLICT };
+        answer(status, format!("{}\n", self.lifecycle.state().name()))
+    }
+}
+
+fn answer(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -23,6 +23,7 @@
 
 use crate::config::Config;
 use crate::host::{Answer, Arrival, Host, Ticket};
+use crate::lifecycle::{Lifecycle, State};
 use crate::upstream::{Payload, DEADLINE_MS, IDEMPOTENCY_KEY, LONGEST_BODY, REQUEST_ID};
 
 const CLASS: HeaderName = HeaderName::from_static("x-class");
@@ -127,15 +128,15 @@
     host: Rc<Host>,
     names: Names,
     settings: Settings,
-    stopping: watch::Receiver<bool>,
+    lifecycle: Rc<Lifecycle>,
 }
 
 /// Serves clients until told to stop and all that was taken is answered.
-pub async fn serve(listener: TcpListener, host: Rc<Host>, config: &Config, stopping: watch::Receiver<bool>) {
+pub async fn serve(listener: TcpListener, host: Rc<Host>, config: &Config, lifecycle: Rc<Lifecycle>) {
     let settings = config.settings.clone();
     let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     let names = Names::of(&settings);
-    let reader = Rc::new(Reader { host, names, settings, stopping: stopping.clone() });
+    let reader = Rc::new(Reader { host, names, settings, lifecycle: Rc::clone(&lifecycle) });
     let clients = Rc::new(Clients {
         most: config.client_sockets,
         open: Cell::new(0),
@@ -146,7 +147,7 @@
     tokio::select! {
         () = accept(&listener, &reader, &clients) => {}
         () = async {
-            signalled(stopping).await;
+            lifecycle.stopped().await;
             sleep(STILL_ACCEPTING).await;
         } => {}
     }
@@ -156,11 +157,6 @@
     let _ = timeout(Duration::from_secs_f64(longest), clients.none_left()).await;
 }
 
-async fn signalled(mut stopping: watch::Receiver<bool>) {
-    // An error means that nobody is left to signal, which ends the node as well.
-    let _ = stopping.wait_for(|stop| *stop).await;
-}
-
 async fn accept(listener: &TcpListener, reader: &Rc<Reader>, clients: &Rc<Clients>) {
     loop {
         clients.room().await;
@@ -180,7 +176,10 @@
         client.busy();
         let (reader, client) = (&reader, &client);
         async move {
-            let response = reader.respond(request).await;
+            let mut response = reader.respond(request).await;
+            if reader.lifecycle.state() != State::Serving {
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
             client.idle();
             Ok::<_, Infallible>(response)
         }
@@ -195,10 +194,11 @@
         _ = serving.as_mut() => return,
         () = client.close.notified() => {}
         // hyper would close a new connection at once, and with it a request that is on its way: what the node
-        // still accepts after the signal gets its first answer.
+        // still accepts while it drains or stops gets its first answer.
         () = async {
-            signalled(reader.stopping.clone()).await;
-            signalled(client.begun.subscribe()).await;
+            reader.lifecycle.closes_idle().await;
+            // The sender is at hand, so that there is no error.
+            let _ = client.begun.subscribe().wait_for(|begun| *begun).await;
         } => {}
     }
     // Closes at once between requests, else with the answer.
@@ -212,7 +212,7 @@
 impl Reader {
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if request.uri().path() == "/health/ready" {
-            let ready = self.host.ready() && !*self.stopping.borrow();
+            let ready = self.host.ready() && self.lifecycle.state() == State::Serving;
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
         }
         match self.read(request).await {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -246,6 +246,8 @@
 /// A running node.
 pub struct Node {
     pub addr: SocketAddr,
+    /// The operators' door, if the configuration names one.
+    pub door: Option<SocketAddr>,
     child: Child,
     config: ConfigFile,
 }
@@ -253,18 +255,41 @@
 impl Node {
     /// Starts it and waits until it listens.
     pub fn start(config: &Value) -> Node {
+        Node::start_with(config, |command| command)
+    }
+
+    /// The same with more in its environment.
+    pub fn start_with(config: &Value, more: impl FnOnce(&mut Command) -> &mut Command) -> Node {
+        let has_door = config["ops"].is_string();
         let config = ConfigFile::new(&config.to_string());
-        let mut child = command(&config).spawn().expect("the node starts");
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-        let addr = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        Node { addr: addr.expect("the address it listens on"), child, config }
+        let mut child = more(&mut command(&config)).spawn().expect("the node starts");
+        let mut said = BufReader::new(child.stdout.take().unwrap());
+        let mut address = || {
+            let mut line = String::new();
+            said.read_line(&mut line).unwrap();
+            let addr = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+            addr.expect("the address it listens on")
+        };
+        let door = has_door.then(&mut address);
+        Node { addr: address(), door, child, config }
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.addr).expect("the node accepts");
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Client { reader: BufReader::new(stream) }
+        Client::connect(self.addr)
+    }
+
+    /// A connection to the operators' door.
+    pub fn operator(&self) -> Client {
+        Client::connect(self.door.expect("a door"))
+    }
+
+    /// One call at the operators' door.
+    pub fn call(&self, method: &str, path: &str) -> Message {
+        let mut operator = self.operator();
+        operator.write(&format!("{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n"));
+        let answer = operator.read().expect("an answer");
+        assert!(operator.read().is_none(), "one call to a connection");
+        answer
     }
 
     /// One request on a new connection.
@@ -317,6 +342,12 @@
 }
 
 impl Client {
+    pub fn connect(addr: SocketAddr) -> Client {
+        let stream = TcpStream::connect(addr).expect("somebody accepts");
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { reader: BufReader::new(stream) }
+    }
+
     pub fn write(&mut self, text: &str) {
         // The node may have closed already; what it has said still shows.
         let _ = self.reader.get_mut().write_all(text.as_bytes());
--- /dev/null
+++ b/node/tests/ops.rs
@@ -0,0 +1,158 @@
+//! The operators' door, and what its calls do to a node in service.
+
+mod common;
+
+use std::time::Instant;
+
+use common::*;
+use serde_json::{json, Value};
+
+/// A node with a door.
+fn start(known: &[Value]) -> (Node, Discovery) {
+    let discovery = Discovery::start();
+    let mut config = config(discovery.server.addr, known);
+    config["ops"] = json!("127.0.0.1:0");
+    (Node::start(&config), discovery)
+}
+
+fn status(node: &Node, method: &str, path: &str) -> u16 {
+    node.call(method, path).status()
+}
+
+// ---- The door -------------------------------------------------------------------------------------------
+
+#[test]
+fn the_door_answers_operators_alone_and_says_no_to_what_it_does_not_know() {
+    let cache = Server::start(|_| hit("value"));
+    let (node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
+    assert_eq!(status(&node, "GET", "/-/ready"), 200);
+    for (method, path, no) in [
+        ("GET", "/", 404),
+        ("GET", "/health/ready", 404),
+        ("GET", "/read/a", 404),
+        ("GET", "/-/nothing", 404),
+        ("POST", "/-/ready", 405),
+        ("GET", "/-/drain", 405),
+        ("PUT", "/-/resume", 405),
+    ] {
+        assert_eq!(status(&node, method, path), no, "{method} {path}");
+    }
+    let told = |text: &str| {
+        let mut operator = node.operator();
+        operator.write(text);
+        operator.read().map(|answer| answer.status())
+    };
+    assert_eq!(told("\x01\x02 nonsense\r\n\r\n"), Some(400));
+    let overlong = format!("GET /-/ready HTTP/1.1\r\nX-Long: {}\r\n\r\n", "a".repeat(20_000));
+    // What it does not read may end the connection before the answer is seen.
+    assert!(told(&overlong).is_none_or(|status| status == 431));
+    assert_eq!(node.get("/-/ready").status(), 404, "clients can't call");
+    assert!(cache.requests.try_recv().is_err(), "a call went on to a server");
+}
+
+#[test]
+fn callers_that_hold_connections_shut_no_operator_out() {
+    let (node, _discovery) = start(&[entry("s-1", refusing(), "active")]);
+    let mut stalled: Vec<Client> = (0..100).map(|_| node.operator()).collect();
+    for half in stalled.iter_mut().step_by(2) {
+        half.write("POST /-/drain HTTP/1.1\r\nHost:");
+    }
+    let began = Instant::now();
+    for _ in 0..10 {
+        assert_eq!(status(&node, "GET", "/-/ready"), 200, "half a call is none");
+    }
+    for caller in &mut stalled {
+        assert!(caller.read().is_none_or(|answer| answer.status() == 408));
+    }
+    assert!(began.elapsed() < PATIENCE, "{:?}", began.elapsed());
+    let mut slow = node.operator();
+    slow.write("GET /-/rea");
+    slow.write("dy HTTP/1.1\r\nHost: door\r\n\r\n");
+    assert_eq!(slow.read().map(|answer| answer.status()), Some(200));
+}
+
+#[test]
+fn an_address_for_operators_that_is_of_no_use_ends_the_start_with_one_line() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    for ops in [json!("somewhere"), json!(9800), json!(taken.local_addr().unwrap().to_string())] {
+        let mut config = config(refusing(), &[]);
+        config["ops"] = ops;
+        let output = command(&ConfigFile::new(&config.to_string())).output().unwrap();
+        assert!(!output.status.success());
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert!(said.lines().count() == 1 && said.contains("operators") || said.contains("ops"), "{said}");
+    }
+}
+
+// ---- Drains ---------------------------------------------------------------------------------------------
+
+#[test]
+fn a_drain_serves_what_comes_keeps_no_connection_and_is_taken_back() {
+    let cache = Server::start(|_| hit("value"));
+    let (node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
+    assert_eq!(status(&node, "POST", "/-/resume"), 200, "nothing to take back");
+    let (mut used, mut idle) = (node.client(), node.client());
+    for client in [&mut used, &mut idle] {
+        assert_eq!(client.get("/read/a", "").header("connection"), None);
+    }
+    assert_eq!(status(&node, "POST", "/-/drain"), 200);
+    assert_eq!(status(&node, "POST", "/-/drain"), 200, "twice is harmless");
+    assert_eq!(status(&node, "GET", "/-/ready"), 503);
+    assert_eq!(node.get("/health/ready").status(), 503);
+    for client in [&mut used, &mut node.client()] {
+        let answer = client.get("/read/b", "");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert!(client.read().is_none());
+    }
+    assert!(idle.read().is_none(), "an idle connection is closed");
+    assert_eq!(status(&node, "POST", "/-/resume"), 200);
+    assert_eq!(status(&node, "GET", "/-/ready"), 200);
+    assert_eq!(node.get("/health/ready").status(), 200);
+    let mut client = node.client();
+    assert_eq!(client.get("/read/a", "").header("connection"), None);
+    assert_eq!(client.get("/read/b", "").status(), 200);
+}
+
+#[test]
+fn a_connection_that_outlasts_a_short_drain_stays_in_use() {
+    let (release, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let cache = Server::start(move |_| {
+        let _ = gate.lock().unwrap().recv();
+        hit("value")
+    });
+    let (node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
+    let mut client = node.client();
+    client.send("GET", "/read/a", "X-Deadline-Ms: 8000\r\n", "");
+    cache.next();
+    assert_eq!(status(&node, "POST", "/-/drain"), 200);
+    assert_eq!(status(&node, "POST", "/-/resume"), 200);
+    release.send(()).unwrap();
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    release.send(()).unwrap();
+    assert_eq!(client.get("/read/b", "").status(), 200);
+}
+
+#[test]
+fn sigterm_in_a_drain_ends_the_node_and_nothing_takes_it_back() {
+    let (release, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let cache = Server::start(move |_| {
+        let _ = gate.lock().unwrap().recv();
+        hit("value")
+    });
+    let (mut node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
+    let mut client = node.client();
+    client.send("GET", "/read/a", "X-Deadline-Ms: 8000\r\n", "");
+    cache.next();
+    assert_eq!(status(&node, "POST", "/-/drain"), 200);
+    node.terminate();
+    wait_until("the stop shows", || (node.call("GET", "/-/ready").body == "stopping\n").then_some(()));
+    for call in ["/-/resume", "/-/drain"] {
+        assert_eq!(status(&node, "POST", call), 409, "{call}");
+    }
+    release.send(()).unwrap();
+    assert_eq!(client.read().expect("what was taken is answered").status(), 200);
+    assert_eq!(node.exit().code(), Some(0));
+}
