--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, Instant};
 
 use mallowpaddle::{
-    Action, AttemptId, Balancer, ClassId, Event, Key, NewRequest, Outcome, RequestId, RosterNews, Seconds,
-    ServerId, Status, TenantId, TimerToken,
+    Action, AttemptId, Balancer, ClassId, Event, Key, Listed, NewRequest, Outcome, RequestId, RosterNews,
+    Seconds, ServerId, Status, TenantId, TimerToken,
 };
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -18,6 +18,7 @@
 
 use crate::config::{Clock, Config, List};
 use crate::discovery::Discovery;
+use crate::figures::{End, Figures, Taken};
 use crate::peers::Peers;
 use crate::upstream::{Ended, Payload, Reply, Sent, Upstreams};
 
@@ -32,6 +33,7 @@
 
 /// A client's request as the module is told of it.
 pub struct Arrival {
+    pub taken: Taken,
     pub left: Duration,
     pub class: Option<ClassId>,
     pub tenant: Option<TenantId>,
@@ -59,19 +61,24 @@
     upstreams: Rc<Upstreams>,
     discovery: Discovery,
     peers: Option<Peers>,
+    pub figures: Rc<Figures>,
 }
 
 impl Host {
     pub async fn start(config: &Config) -> Result<Rc<Self>, Box<dyn std::error::Error>> {
+        let classes = config.settings.classes.iter().map(|class| class.name.clone());
+        let figures = Rc::new(Figures::new(classes));
+        let calls = Rc::clone(&figures.backend_calls);
         let host = Rc::new(Host {
             clock: Clock::start(),
             balancer: RefCell::new(Balancer::new(config.settings.clone(), config.seed)?),
             next_id: Cell::new(0),
             open: RefCell::default(),
             attempts: RefCell::default(),
-            upstreams: Upstreams::start(&config.settings.limits, config.upstream_sockets),
+            upstreams: Upstreams::start(&config.settings.limits, config.upstream_sockets, calls),
             discovery: Discovery::new(config.discovery, config.known.as_ref()),
             peers: Peers::bind(config).await.map_err(|e| format!("listen for peers: {e}"))?,
+            figures,
         });
         if host.peers.is_some() {
             let host = Rc::clone(&host);
@@ -96,6 +103,11 @@
         self.upstreams.any_ready()
     }
 
+    /// The module's view of its list.
+    pub fn listed(&self) -> Listed {
+        self.balancer.borrow().listed()
+    }
+
     /// Tells the module of an event and carries out its answer.
     pub fn tell(self: &Rc<Self>, event: Event) {
         let mut actions = Vec::new();
@@ -172,7 +184,7 @@
         let deadline = Instant::now() + arrival.left;
         let payload = Rc::new(arrival.payload);
         self.open.borrow_mut().insert(id, Open { payload, answer, attempts: 0, deadline });
-        let ticket = Ticket { id, host: Rc::clone(self), answered, deadline };
+        let ticket = Ticket { id, host: Rc::clone(self), answered, deadline, taken: arrival.taken };
         self.tell(Event::Request(NewRequest {
             id,
             left: arrival.left.as_secs_f64(),
@@ -291,17 +303,24 @@
     host: Rc<Host>,
     answered: oneshot::Receiver<Answer>,
     deadline: Instant,
+    taken: Taken,
 }
 
 impl Ticket {
     /// Waits for the module's answer, but not past the deadline: a silent module must not lose a request.
     pub async fn answer(mut self) -> Answer {
         let answer = tokio::time::timeout_at(self.deadline.into(), &mut self.answered).await;
-        match answer {
+        let answer = match answer {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => Answer::Failed,
             Err(_) => Answer::Overdue,
-        }
+        };
+        self.taken.end(match answer {
+            Answer::Served(_) => End::Success,
+            Answer::Refused(_) => End::Busy,
+            Answer::Failed | Answer::Overdue => End::Failure,
+        });
+        answer
     }
 }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,7 @@
 
 mod config;
 mod discovery;
+mod figures;
 mod host;
 mod lifecycle;
 mod ops;
@@ -81,8 +82,14 @@
 async fn follow_discovery(mut hangup: Signal, host: Rc<Host>) {
     while hangup.recv().await.is_some() {
         match config::replaced_discovery() {
-            Ok(addr) => host.discovery().move_to(addr, &host),
-            Err(what) => eprintln!("tackstage: {}", what.to_string().replace('\n', " ")),
+            Ok(addr) => {
+                figures::add_one(&host.figures.reconfig_ok);
+                host.discovery().move_to(addr, &host);
+            }
+            Err(what) => {
+                figures::add_one(&host.figures.reconfig_failed);
+                eprintln!("tackstage: {}", what.to_string().replace('\n', " "));
+            }
         }
     }
 }
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -95,7 +95,7 @@
 impl Door {
     fn respond(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         let path = request.uri().path();
-        let read = path == "/-/ready";
+        let read = matches!(path, "/-/ready" | "/-/metrics");
         let known = read || matches!(path, "/-/drain" | "/-/resume");
         let method = if read { Method::GET } else { Method::POST };
         if !known {
@@ -109,6 +109,7 @@
         }
         match path {
             "/-/ready" => self.ready(),
+            "/-/metrics" => self.metrics(),
             "/-/drain" => self.changed(self.lifecycle.drain()),
             _ => self.changed(self.lifecycle.resume()),
         }
@@ -122,6 +123,13 @@
         }
     }
 
+    fn metrics(&self) -> Response<Full<Bytes>> {
+        let figures = self.host.figures.json(self.host.listed(), self.lifecycle.state().name());
+        let mut response = answer(StatusCode::OK, figures.to_string());
+        response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        response
+    }
+
     fn changed(&self, changed: bool) -> Response<Full<Bytes>> {
         let status = if changed { StatusCode::OK } else { StatusCode::CONFLICT };
         answer(status, format!("{}\n", self.lifecycle.state().name()))
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -224,7 +224,7 @@
     async fn read(&self, request: Request<Incoming>) -> Result<Ticket, Rejected> {
         let (head, body) = request.into_parts();
         let (first, key) = split_path(head.uri.path()).ok_or(Rejected(StatusCode::NOT_FOUND))?;
-        self.names.class(first).ok_or(Rejected(StatusCode::NOT_FOUND))?;
+        let named = self.names.class(first).ok_or(Rejected(StatusCode::NOT_FOUND))?;
         let write = match head.method {
             Method::GET => false,
             Method::PUT => true,
@@ -232,7 +232,7 @@
         };
         let class = match text(&head.headers, &CLASS)? {
             Some(name) => self.names.class(name),
-            None => self.names.class(first),
+            None => Some(named),
         };
         // Servers answer nothing without an id, so the request can't be served.
         let id = head.headers.get(REQUEST_ID).filter(|id| !id.is_empty()).cloned();
@@ -261,7 +261,8 @@
         };
         // The client's time runs from its last byte, which has just come.
         let left = left_here(wait);
-        Ok(self.host.take(Arrival { left, class, tenant, key, write, work, payload }))
+        let taken = self.host.figures.take(named);
+        Ok(self.host.take(Arrival { taken, left, class, tenant, key, write, work, payload }))
     }
 
     /// For clients that don't say how long they wait; of an unknown class, the shortest.
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -22,6 +22,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 
 use crate::config::List;
+use crate::figures::add_one;
 
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
@@ -120,6 +121,8 @@
 struct Socket {
     stream: TokioIo<TcpStream>,
     written: Rc<Cell<Written>>,
+    /// How many requests have been written whole.
+    calls: Rc<Cell<u64>>,
     _open: OpenSocket,
 }
 
@@ -170,6 +173,7 @@
         let result = Pin::new(&mut self.stream).poll_flush(cx);
         if matches!(result, Poll::Ready(Ok(()))) && self.written.get() == Written::Partly {
             self.written.set(Written::Whole);
+            add_one(&self.calls);
         }
         result
     }
@@ -216,13 +220,16 @@
     most_open: usize,
     connect_timeout: Duration,
     idle_time: Duration,
+    /// How many attempts have been written whole.
+    calls: Rc<Cell<u64>>,
 }
 
 impl Upstreams {
-    pub fn start(limits: &Limits, most_open: usize) -> Rc<Self> {
+    pub fn start(limits: &Limits, most_open: usize, calls: Rc<Cell<u64>>) -> Rc<Self> {
         let stated = |seconds: f64| Duration::try_from_secs_f64(seconds).ok().filter(|time| !time.is_zero());
         let upstreams = Rc::new(Upstreams {
             servers: RefCell::default(),
+            calls,
             open: Rc::default(),
             most_open,
             connect_timeout: stated(limits.connect_timeout).unwrap_or(PROBE_TIME),
@@ -275,7 +282,7 @@
         loop {
             let (mut connection, reused) = match self.take_idle(server) {
                 Some(connection) => (connection, true),
-                None => match self.connect(server).await {
+                None => match self.connect(server, &self.calls).await {
                     Ok(connection) => (connection, false),
                     Err(status) => return Ended::without_reply(status),
                 },
@@ -300,7 +307,8 @@
     /// Health-checks a server on a connection of its own.
     pub async fn probe(&self, server: &ServerId) -> Status {
         let probe = async {
-            let mut connection = self.connect(server).await?;
+            // A probe is no attempt, so it has a count of its own.
+            let mut connection = self.connect(server, &Rc::default()).await?;
             let mut request = Request::new(Full::default());
             *request.uri_mut() = Uri::from_static("/health/live");
             request.headers_mut().insert(header::HOST, host_value(connection.addr));
@@ -326,7 +334,7 @@
         None
     }
 
-    async fn connect(&self, server: &ServerId) -> Result<Connection, Status> {
+    async fn connect(&self, server: &ServerId, calls: &Rc<Cell<u64>>) -> Result<Connection, Status> {
         let addr = self.addr(server).ok_or(Status::Overloaded)?;
         // No socket left is this node's want, not the server's: nothing was sent.
         let open = self.claim_socket().ok_or(Status::Void)?;
@@ -334,7 +342,9 @@
             let stream = TcpStream::connect(addr).await.ok()?;
             stream.set_nodelay(true).ok()?;
             let written = Rc::new(Cell::new(Written::Nothing));
-            let socket = Socket { stream: TokioIo::new(stream), written: Rc::clone(&written), _open: open };
+            let calls = Rc::clone(calls);
+            let socket =
+                Socket { stream: TokioIo::new(stream), written: Rc::clone(&written), calls, _open: open };
             let (sender, driving) = http1::handshake(socket).await.ok()?;
             let driver = spawn_local(async move {
                 // How it ended shows in the answers of `sender`.
@@ -462,7 +472,7 @@
     fn nothing_that_waits_for_a_connect_goes_to_a_server_that_drains_meanwhile() {
         on_loopback(|listener| async move {
             let addr = listener.local_addr().unwrap();
-            let upstreams = Upstreams::start(&limits(), 8);
+            let upstreams = Upstreams::start(&limits(), 8, Rc::default());
             upstreams.update(&list(addr, ServerState::Ready));
             let (server, payload, sent) = (ServerId("s-1".into()), payload(""), Sent::default());
             let (ended, ()) = tokio::join! {
@@ -482,7 +492,7 @@
     #[test]
     fn a_request_is_known_to_be_written_whole_once_its_last_byte_is() {
         on_loopback(|listener| async move {
-            let upstreams = Upstreams::start(&limits(), 8);
+            let upstreams = Upstreams::start(&limits(), 8, Rc::default());
             upstreams.update(&list(listener.local_addr().unwrap(), ServerState::Ready));
             let (server, payload, sent) = (ServerId("s-1".into()), payload("body"), Sent::default());
             let answered = async {
@@ -502,7 +512,7 @@
     fn at_the_limit_the_idlest_connection_makes_room_and_none_is_opened_beyond() {
         on_loopback(|listener| async move {
             let addr = listener.local_addr().unwrap();
-            let upstreams = Upstreams::start(&limits(), 1);
+            let upstreams = Upstreams::start(&limits(), 1, Rc::default());
             upstreams.update(&list(addr, ServerState::Ready));
             let (server, payload) = (ServerId("s-1".into()), payload(""));
             let serve = async {
--- a/node/tests/ops.rs
+++ b/node/tests/ops.rs
@@ -84,6 +84,90 @@
     }
 }
 
+// ---- Figures --------------------------------------------------------------------------------------------
+
+fn figures(node: &Node) -> Value {
+    let answer = node.call("GET", "/-/metrics");
+    assert_eq!((answer.status(), answer.header("content-type")), (200, Some("application/json")));
+    serde_json::from_str(&answer.body).expect("JSON")
+}
+
+#[test]
+fn figures_agree_with_what_clients_and_servers_saw() {
+    let (release, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let cache = Server::start(move |request| match request.path() {
+        "/read/slow" => {
+            let _ = gate.lock().unwrap().recv();
+            hit("value")
+        }
+        "/read/missing" => miss(),
+        "/order/broken" => Reply::Close(String::new()),
+        _ => hit("value"),
+    });
+    let origin = Server::start(|request| match request.path() {
+        "/read/missing" => hit("from origin"),
+        _ => Reply::Keep(answer("503 Service Unavailable", "X-Not-Run: 1\r\n", "")),
+    });
+    let (node, _discovery) =
+        start(&[entry("s-1", cache.addr, "active"), entry("origin", origin.addr, "active")]);
+    let classes = |read: u64, store: u64, order: u64| json!({"read": read, "store": store, "order": order});
+    let before = figures(&node);
+    for ends in ["success", "busy", "failure"] {
+        assert_eq!(before[ends], classes(0, 0, 0), "{ends}");
+    }
+    for (figure, value) in [("inflight", 0), ("backend_calls", 0), ("hosts_listed", 1), ("hosts_down", 0)] {
+        assert_eq!(before[figure], json!(value), "{figure}");
+    }
+    assert_eq!(before["state"], "serving");
+    assert_eq!(node.get("/read/a").status(), 200);
+    assert_eq!(node.get("/read/missing").status(), 200);
+    assert_eq!(node.get("/order/broken").status(), 502);
+    let mut client = node.client();
+    client.send("PUT", "/store/a", "X-Deadline-Ms: 6000\r\n", "value");
+    assert_eq!(client.read().unwrap().status(), 503);
+    // Not taken, so they count nowhere.
+    assert_eq!(node.get("/unheard/of").status(), 404);
+    assert_eq!(node.get("/health/ready").status(), 200);
+    let mut slow = node.client();
+    slow.send("GET", "/read/slow", "X-Deadline-Ms: 8000\r\n", "");
+    let seen = |server: &Server| -> usize { server.requests.try_iter().count() };
+    let mut calls = seen(&cache) + seen(&origin);
+    wait_until("the slow one is out", || {
+        calls += seen(&cache) + seen(&origin);
+        (figures(&node)["backend_calls"] == json!(calls) && figures(&node)["inflight"] == json!(1))
+            .then_some(())
+    });
+    release.send(()).unwrap();
+    assert_eq!(slow.read().unwrap().status(), 200);
+    let after = figures(&node);
+    assert_eq!(after["success"], classes(3, 0, 0));
+    assert_eq!(after["busy"], classes(0, 1, 0));
+    assert_eq!(after["failure"], classes(0, 0, 1));
+    assert_eq!(after["inflight"], json!(0));
+}
+
+#[test]
+fn a_client_that_goes_away_is_no_longer_in_flight() {
+    let cache = Server::start(|_| Reply::Silence);
+    let (node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
+    let mut client = node.client();
+    client.send("GET", "/read/a", "X-Deadline-Ms: 100000\r\n", "");
+    cache.next();
+    assert_eq!(figures(&node)["inflight"], 1);
+    drop(client);
+    wait_until("it is gone", || (figures(&node)["inflight"] == 0).then_some(()));
+}
+
+#[test]
+fn reconfigurations_are_counted() {
+    let (node, discovery) = start(&[]);
+    node.reconfigure("{");
+    wait_until("the failure shows", || (figures(&node)["reconfig_failed"] == 1).then_some(()));
+    node.reconfigure(&config(discovery.server.addr, &[]).to_string());
+    wait_until("the success shows", || (figures(&node)["reconfig_ok"] == 1).then_some(()));
+}
+
 // ---- Drains ---------------------------------------------------------------------------------------------
 
 #[test]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -420,6 +420,14 @@
         self.0.on_event(event);
         actions.append(&mut self.0.out);
     }
+
+    /// What there is of servers as of the last event, for operators.
+    pub fn listed(&self) -> Listed {
+        let node = &self.0;
+        let listed = |s: &&Server| s.entry.state != ServerState::Gone && !is_origin(&node.settings, s);
+        let servers = node.servers.values().filter(listed);
+        Listed { all: servers.clone().count(), avoided: servers.filter(|s| node.now < s.quiet).count() }
+    }
 }
 
 impl Node {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -496,3 +496,12 @@
     /// A line for the operators.
     Log(String),
 }
+
+/// What a balancer can be asked of its list: how many servers it holds, the origin aside.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Listed {
+    /// All that are listed.
+    pub all: usize,
+    /// Those of them that it avoids now.
+    pub avoided: usize,
+}
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -552,8 +552,10 @@
     }
     node.pass(1.0);
     assert!(sent(&node.request(read(3000, keys[1]))).iter().all(|s| *s != id(1)));
+    assert_eq!(node.balancer.listed(), Listed { all: 6, avoided: 1 });
     node.pass(6.0);
     assert_eq!(node.home(4000, keys[2]), id(1), "and back after its rest");
+    assert_eq!(node.balancer.listed(), Listed { all: 6, avoided: 0 });
 }
 
 /// Clients that waited for less than an answer takes, and asked again at once: their time-outs passed for dead
