--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use mallowpaddle::{RosterEntry, Seconds, ServerId, ServerState, Settings};
@@ -46,6 +47,8 @@
     pub client_sockets: usize,
     /// The operators' door, where there is one.
     pub ops: Option<SocketAddr>,
+    /// Where the node's processes keep what outlives one of them.
+    pub folder: Option<PathBuf>,
     pub peer_listen: Option<SocketAddr>,
     /// By node number.
     pub peers: Vec<SocketAddr>,
@@ -97,6 +100,7 @@
             upstream_sockets,
             client_sockets: sockets - reserved - upstream_sockets,
             ops,
+            folder: var("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from),
             peer_listen: listed("peer_listen")?,
             peers: peers
                 .iter()
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -16,6 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::byhand::{ByHand, Change};
 use crate::config::{Clock, Config, List};
 use crate::discovery::Discovery;
 use crate::figures::{End, Figures, Taken};
@@ -59,6 +60,9 @@
     /// Attempts that are out, and what calls each off. They may outlive their request.
     attempts: RefCell<HashMap<(RequestId, u32), oneshot::Sender<()>>>,
     upstreams: Rc<Upstreams>,
+    by_hand: Rc<ByHand>,
+    /// How long a call back is kept in mind: as long as a cold server warms up.
+    ramp: Seconds,
     discovery: Discovery,
     peers: Option<Peers>,
     pub figures: Rc<Figures>,
@@ -69,13 +73,18 @@
         let classes = config.settings.classes.iter().map(|class| class.name.clone());
         let figures = Rc::new(Figures::new(classes));
         let calls = Rc::clone(&figures.backend_calls);
+        let by_hand = Rc::new(ByHand::new(config.folder.as_deref()));
+        let upstreams =
+            Upstreams::start(&config.settings.limits, config.upstream_sockets, calls, Rc::clone(&by_hand));
         let host = Rc::new(Host {
             clock: Clock::start(),
             balancer: RefCell::new(Balancer::new(config.settings.clone(), config.seed)?),
             next_id: Cell::new(0),
             open: RefCell::default(),
             attempts: RefCell::default(),
-            upstreams: Upstreams::start(&config.settings.limits, config.upstream_sockets, calls),
+            upstreams,
+            by_hand,
+            ramp: config.settings.guarantees.ramp,
             discovery: Discovery::new(config.discovery, config.known.as_ref()),
             peers: Peers::bind(config).await.map_err(|e| format!("listen for peers: {e}"))?,
             figures,
@@ -91,6 +100,7 @@
         // The module starts with its first event, so there is one even where nothing is known.
         let known = config.known.as_ref().map_or(&[][..], |list| &list.servers);
         host.on_list(List { version: 0, full: true, servers: known.to_vec() }, true);
+        host.follow_by_hand();
         Ok(host)
     }
 
@@ -174,6 +184,29 @@
         self.tell(Event::Roster(RosterNews::Failed));
     }
 
+    /// Takes a cache server out or calls it back. `None` if nobody has that name.
+    pub fn set_by_hand(self: &Rc<Self>, server: &ServerId, out: bool) -> Option<std::io::Result<()>> {
+        if !self.by_hand.is_out(server) && !self.balancer.borrow().lists(server) {
+            return None;
+        }
+        let changed = self.by_hand.set(server, out, self.clock.now(), self.ramp);
+        self.tell_by_hand(changed.0);
+        Some(changed.1)
+    }
+
+    /// Another process of this node may have been told.
+    pub fn follow_by_hand(self: &Rc<Self>) {
+        self.tell_by_hand(self.by_hand.follow());
+    }
+
+    /// The host sends nothing to a server that is out from the same moment on.
+    fn tell_by_hand(self: &Rc<Self>, changes: Vec<Change>) {
+        for Change { server, back } in changes {
+            eprintln!("{} {}", server.0, if back.is_some() { "called back" } else { "out by hand" });
+            self.tell(Event::ByHand { server, back });
+        }
+    }
+
     // ---- Requests -------------------------------------------------------------------------------------
 
     /// Takes a request. The ticket brings its one final answer.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+mod byhand;
 mod config;
 mod discovery;
 mod figures;
@@ -63,6 +64,7 @@
     if let Some(door) = door {
         let calls = Door { host: Rc::clone(&host), lifecycle: Rc::clone(&lifecycle) };
         spawn_local(ops::serve(door, calls));
+        spawn_local(byhand::follow(Rc::clone(&host)));
     }
     spawn_local(follow_discovery(hangup, Rc::clone(&host)));
     let serving = server::serve(listener, Rc::clone(&host), &config, Rc::clone(&lifecycle));
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -13,6 +13,8 @@
 use hyper::service::service_fn;
 use hyper::{header, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use mallowpaddle::ServerId;
+use percent_encoding::percent_decode_str;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, timeout};
@@ -92,26 +94,77 @@
     let _ = timeout(LONGEST_CALL * 2, call).await;
 }
 
+/// A call that the door knows.
+enum Call {
+    Ready,
+    Metrics,
+    Drain,
+    Resume,
+    /// Leave this cache server out, or use it again.
+    Hand(ServerId, bool),
+}
+
+impl Call {
+    fn of(path: &str) -> Option<Call> {
+        Some(match path.strip_prefix("/-/")? {
+            "ready" => Call::Ready,
+            "metrics" => Call::Metrics,
+            "drain" => Call::Drain,
+            "resume" => Call::Resume,
+            path => {
+                let (id, call) = path.strip_prefix("cache-servers/")?.split_once('/')?;
+                // Names are addresses on some sites, whose colon clients may have encoded.
+                let id = percent_decode_str(id).decode_utf8().ok()?;
+                let out = match call {
+                    "disable" => true,
+                    "enable" => false,
+                    _ => return None,
+                };
+                Call::Hand(ServerId(id.as_ref().into()), out)
+            }
+        })
+    }
+
+    fn method(&self) -> Method {
+        match self {
+            Call::Ready | Call::Metrics => Method::GET,
+            Call::Drain | Call::Resume | Call::Hand(..) => Method::POST,
+        }
+    }
+}
+
 impl Door {
     fn respond(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-        let path = request.uri().path();
-        let read = matches!(path, "/-/ready" | "/-/metrics");
-        let known = read || matches!(path, "/-/drain" | "/-/resume");
-        let method = if read { Method::GET } else { Method::POST };
-        if !known {
+        let Some(call) = Call::of(request.uri().path()) else {
             return answer(StatusCode::NOT_FOUND, "no such call\n");
-        }
+        };
+        let method = call.method();
         if *request.method() != method {
-            let mut response = answer(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n");
-            let allowed = HeaderValue::from_static(if read { "GET" } else { "POST" });
-            response.headers_mut().insert(header::ALLOW, allowed);
+            let mut response = answer(StatusCode::METHOD_NOT_ALLOWED, format!("{method} expected\n"));
+            if let Ok(allowed) = HeaderValue::from_str(method.as_str()) {
+                response.headers_mut().insert(header::ALLOW, allowed);
+            }
             return response;
         }
-        match path {
-            "/-/ready" => self.ready(),
-            "/-/metrics" => self.metrics(),
-            "/-/drain" => self.changed(self.lifecycle.drain()),
-            _ => self.changed(self.lifecycle.resume()),
+        match call {
+            Call::Ready => self.ready(),
+            Call::Metrics => self.metrics(),
+            Call::Drain => self.changed(self.lifecycle.drain()),
+            Call::Resume => self.changed(self.lifecycle.resume()),
+            Call::Hand(server, out) => self.hand(&server, out),
+        }
+    }
+
+    fn hand(&self, server: &ServerId, out: bool) -> Response<Full<Bytes>> {
+        let now = if out { "out" } else { "in use" };
+        match self.host.set_by_hand(server, out) {
+            None => answer(StatusCode::NOT_FOUND, "no such cache server\n"),
+            Some(Ok(())) => answer(StatusCode::OK, format!("{now}\n")),
+            // In force all the same: a no would be believed to have changed nothing.
+            Some(Err(e)) => {
+                eprintln!("{} {now}, but not kept for the next process: {e}", server.0);
+                answer(StatusCode::OK, format!("{now}, but not kept for the next process: {e}\n"))
+            }
         }
     }
 
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -21,6 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, JoinHandle};
 
+use crate::byhand::ByHand;
 use crate::config::List;
 use crate::figures::add_one;
 
@@ -222,14 +223,16 @@
     idle_time: Duration,
     /// How many attempts have been written whole.
     calls: Rc<Cell<u64>>,
+    by_hand: Rc<ByHand>,
 }
 
 impl Upstreams {
-    pub fn start(limits: &Limits, most_open: usize, calls: Rc<Cell<u64>>) -> Rc<Self> {
+    pub fn start(limits: &Limits, most_open: usize, calls: Rc<Cell<u64>>, by_hand: Rc<ByHand>) -> Rc<Self> {
         let stated = |seconds: f64| Duration::try_from_secs_f64(seconds).ok().filter(|time| !time.is_zero());
         let upstreams = Rc::new(Upstreams {
             servers: RefCell::default(),
             calls,
+            by_hand,
             open: Rc::default(),
             most_open,
             connect_timeout: stated(limits.connect_timeout).unwrap_or(PROBE_TIME),
@@ -273,7 +276,9 @@
 
     /// Where a server that may be sent to is reached.
     fn addr(&self, server: &ServerId) -> Option<SocketAddr> {
-        self.servers.borrow().get(server).filter(|server| server.ready).map(|server| server.addr)
+        let servers = self.servers.borrow();
+        let found = servers.get(server).filter(|server| server.ready).map(|server| server.addr);
+        found.filter(|_| !self.by_hand.is_out(server))
     }
 
     /// Makes one attempt. The caller bounds its time, and ends it by dropping the future.
@@ -383,15 +388,15 @@
         Ended { status, note: note_of(&head.headers), reply }
     }
 
-    async fn keep(&self, server: &ServerId, mut connection: Connection) {
+    async fn keep(&self, id: &ServerId, mut connection: Connection) {
         let free = tokio::time::timeout(SETTLE, connection.sender.ready()).await;
         if !matches!(free, Ok(Ok(()))) {
             return;
         }
         connection.idle_since = Instant::now();
         let mut servers = self.servers.borrow_mut();
-        let kept = servers.get_mut(server).filter(|server| server.ready && server.addr == connection.addr);
-        if let Some(server) = kept {
+        let kept = servers.get_mut(id).filter(|server| server.ready && server.addr == connection.addr);
+        if let Some(server) = kept.filter(|_| !self.by_hand.is_out(id)) {
             server.idle.push(connection);
         }
     }
@@ -460,6 +465,10 @@
         Limits { connect_timeout: 30.0, ..Limits::default() }
     }
 
+    fn start(most_open: usize) -> Rc<Upstreams> {
+        Upstreams::start(&limits(), most_open, Rc::default(), Rc::new(ByHand::new(None)))
+    }
+
     fn on_loopback<F: std::future::Future>(test: impl FnOnce(TcpListener) -> F) -> F::Output {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         LocalSet::new().block_on(&runtime, async {
@@ -472,7 +481,7 @@
     fn nothing_that_waits_for_a_connect_goes_to_a_server_that_drains_meanwhile() {
         on_loopback(|listener| async move {
             let addr = listener.local_addr().unwrap();
-            let upstreams = Upstreams::start(&limits(), 8, Rc::default());
+            let upstreams = start(8);
             upstreams.update(&list(addr, ServerState::Ready));
             let (server, payload, sent) = (ServerId("s-1".into()), payload(""), Sent::default());
             let (ended, ()) = tokio::join! {
@@ -489,10 +498,31 @@
         });
     }
 
+    #[test]
+    fn nothing_that_waits_for_a_connect_goes_to_a_server_that_is_taken_out_meanwhile() {
+        on_loopback(|listener| async move {
+            let addr = listener.local_addr().unwrap();
+            let by_hand = Rc::new(ByHand::new(None));
+            let upstreams = Upstreams::start(&limits(), 8, Rc::default(), Rc::clone(&by_hand));
+            upstreams.update(&list(addr, ServerState::Ready));
+            let (server, payload, sent) = (ServerId("s-1".into()), payload(""), Sent::default());
+            let (ended, ()) = tokio::join! {
+                biased;
+                upstreams.exchange(&server, &payload, WAIT, &sent),
+                async { drop(by_hand.set(&server, true, 1.0, 60.0)) },
+            };
+            assert_eq!((ended.status, sent.whole()), (Status::Overloaded, false));
+            // No list brings it back.
+            upstreams.update(&list(addr, ServerState::Ready));
+            let ended = upstreams.exchange(&server, &payload, WAIT, &sent).await;
+            assert_eq!((ended.status, sent.whole()), (Status::Overloaded, false));
+        });
+    }
+
     #[test]
     fn a_request_is_known_to_be_written_whole_once_its_last_byte_is() {
         on_loopback(|listener| async move {
-            let upstreams = Upstreams::start(&limits(), 8, Rc::default());
+            let upstreams = start(8);
             upstreams.update(&list(listener.local_addr().unwrap(), ServerState::Ready));
             let (server, payload, sent) = (ServerId("s-1".into()), payload("body"), Sent::default());
             let answered = async {
@@ -512,7 +542,7 @@
     fn at_the_limit_the_idlest_connection_makes_room_and_none_is_opened_beyond() {
         on_loopback(|listener| async move {
             let addr = listener.local_addr().unwrap();
-            let upstreams = Upstreams::start(&limits(), 1, Rc::default());
+            let upstreams = start(1);
             upstreams.update(&list(addr, ServerState::Ready));
             let (server, payload) = (ServerId("s-1".into()), payload(""));
             let serve = async {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -237,6 +237,24 @@
     }
 }
 
+/// A folder of its own, which goes when it is dropped.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new() -> Folder {
+        let file = ConfigFile::new("");
+        let path = file.0.with_extension("d");
+        std::fs::create_dir_all(&path).expect("a temporary folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 pub fn command(config: &ConfigFile) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tackstage"));
     command.env_clear().env("LB_CONFIG", &config.0).stdout(Stdio::piped());
--- a/node/tests/ops.rs
+++ b/node/tests/ops.rs
@@ -168,6 +168,92 @@
     wait_until("the success shows", || (figures(&node)["reconfig_ok"] == 1).then_some(()));
 }
 
+// ---- Cache servers out by hand --------------------------------------------------------------------------
+
+fn hand(node: &Node, id: &str, call: &str) -> u16 {
+    status(node, "POST", &format!("/-/cache-servers/{id}/{call}"))
+}
+
+#[test]
+fn a_server_out_by_hand_is_sent_nothing_until_one_call_back() {
+    let (one, two) = (Server::start(|_| hit("one")), Server::start(|_| hit("two")));
+    let origin = Server::start(|_| hit("origin"));
+    let listed = |state: &str| {
+        [
+            entry("s-1", one.addr, state),
+            entry("s-2", two.addr, "active"),
+            entry("origin", origin.addr, "active"),
+        ]
+    };
+    let (node, discovery) = start(&listed("active"));
+    let keys =
+        || (0..40).map(|key| node.get(&format!("/read/{key}")).body).filter(|body| body == "one").count();
+    assert!(keys() > 0);
+    assert_eq!(hand(&node, "nobody", "disable"), 404);
+    assert_eq!(hand(&node, "nobody", "enable"), 404);
+    assert_eq!(hand(&node, "origin", "disable"), 404, "the origin is no cache server");
+    assert_eq!(hand(&node, "s-1", "explode"), 404);
+    assert_eq!(status(&node, "GET", "/-/cache-servers/s-1/disable"), 405);
+    assert_eq!(hand(&node, "s-1", "enable"), 200, "in use already");
+    assert_eq!(hand(&node, "s%2d1", "disable"), 200);
+    one.ended.recv_timeout(PATIENCE).expect("idle connections are closed");
+    assert_eq!(hand(&node, "s-1", "disable"), 200, "twice is harmless");
+    assert_eq!((keys(), &figures(&node)["hosts_down"]), (0, &json!(1)));
+    // It leaves the list, is still known to be out, and comes back to the list.
+    discovery.publish(2, &list(2, true, &listed("active")[1..]).to_string());
+    discovery.heard(2);
+    assert_eq!(
+        (figures(&node)["hosts_listed"].clone(), figures(&node)["hosts_down"].clone()),
+        (json!(1), json!(0))
+    );
+    assert_eq!(hand(&node, "s-1", "disable"), 200);
+    discovery.publish(3, &list(3, true, &listed("active")).to_string());
+    discovery.heard(3);
+    assert_eq!((keys(), &figures(&node)["hosts_down"]), (0, &json!(1)));
+    assert_eq!(hand(&node, "s-1", "enable"), 200);
+    assert_eq!(figures(&node)["hosts_down"], 0);
+    wait_until("it is used again", || (keys() > 0).then_some(()));
+}
+
+#[test]
+fn a_server_out_by_hand_and_unlisted_can_be_called_back() {
+    let cache = Server::start(|_| hit("value"));
+    let (node, discovery) = start(&[entry("s-1", cache.addr, "active"), entry("s-2", refusing(), "active")]);
+    assert_eq!(hand(&node, "s-2", "disable"), 200);
+    discovery.publish(2, &list(2, true, &[entry("s-1", cache.addr, "active")]).to_string());
+    discovery.heard(2);
+    assert_eq!(hand(&node, "s-2", "enable"), 200);
+    assert_eq!(hand(&node, "s-2", "enable"), 404, "nobody has it now");
+}
+
+#[test]
+fn what_was_taken_out_by_hand_outlives_the_process_and_a_damaged_file_does_not_stop_the_next() {
+    let folder = Folder::new();
+    let (one, two) = (Server::start(|_| hit("one")), Server::start(|_| hit("two")));
+    let known = [entry("s-1", one.addr, "active"), entry("s-2", two.addr, "active")];
+    let discovery = Discovery::start();
+    let mut config = config(discovery.server.addr, &known);
+    config["ops"] = json!("127.0.0.1:0");
+    let run = || Node::start_with(&config, |command| command.env("TMPDIR", &folder.0));
+    let ones = |node: &Node| (0..40).filter(|key| node.get(&format!("/read/{key}")).body == "one").count();
+    // Two processes at once, as in an upgrade, and then a later one.
+    let (old, new) = (run(), run());
+    assert_eq!(hand(&old, "s-1", "disable"), 200);
+    for node in [&old, &new] {
+        wait_until("it is out", || (figures(node)["hosts_down"] == 1).then_some(()));
+        assert_eq!(ones(node), 0);
+    }
+    drop(old);
+    let later = run();
+    assert_eq!((ones(&later), &figures(&later)["hosts_down"]), (0, &json!(1)));
+    assert_eq!(hand(&new, "s-1", "enable"), 200);
+    wait_until("it is called back", || (figures(&later)["hosts_down"] == 0).then_some(()));
+    for file in std::fs::read_dir(&folder.0).unwrap() {
+        std::fs::write(file.unwrap().path(), "{\"out\":").unwrap();
+    }
+    assert_eq!(figures(&run())["hosts_down"], 0);
+}
+
 // ---- Drains ---------------------------------------------------------------------------------------------
 
 #[test]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,7 +4,7 @@
 //! Loads"): a key goes to the owner of slot h(key, 0) of a fixed array, and from an owner at its cap on to
 //! the owners of h(key, 1), h(key, 2) and so on. What departs from that says when it acts.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
 
@@ -313,6 +313,8 @@
     out: Vec<Action>,
     started: bool,
     servers: BTreeMap<ServerId, Server>,
+    /// Servers that operators have taken out, whatever the list says.
+    by_hand: BTreeSet<ServerId>,
     slots: SlotArray,
     /// Servers that may be sent to, and the sums of their sizes and shares.
     ready: f64,
@@ -426,7 +428,14 @@
         let node = &self.0;
         let listed = |s: &&Server| s.entry.state != ServerState::Gone && !is_origin(&node.settings, s);
         let servers = node.servers.values().filter(listed);
-        Listed { all: servers.clone().count(), avoided: servers.filter(|s| node.now < s.quiet).count() }
+        let avoided = |s: &&Server| node.now < s.quiet || node.by_hand.contains(&s.entry.server);
+        Listed { all: servers.clone().count(), avoided: servers.filter(avoided).count() }
+    }
+
+    /// A cache server is listed under this name.
+    pub fn lists(&self, server: &ServerId) -> bool {
+        let listed = |s: &Server| s.entry.state != ServerState::Gone && !is_origin(&self.0.settings, s);
+        self.0.servers.get(server).is_some_and(listed)
     }
 }
 
@@ -453,6 +462,7 @@
                     self.found_failing(&ServerId(address.into()));
                 }
             }
+            Event::ByHand { server, back } => self.on_hand(server, back),
             Event::Probed { .. } => {}
         }
     }
@@ -500,7 +510,7 @@
                 resized.push((id.clone(), size));
             }
             s.share = 0.0;
-            if size > 0.0 && s.entry.state == ServerState::Ready {
+            if size > 0.0 && s.entry.state == ServerState::Ready && !self.by_hand.contains(id) {
                 s.share = size * s.warmth(self.now, &self.settings.guarantees);
                 self.ready += 1.0;
                 self.sizes += size;
@@ -591,6 +601,7 @@
     fn may_send(&self, r: &Request, id: &ServerId, server: &Server) -> bool {
         let limits = &self.settings.limits;
         if server.entry.state != ServerState::Ready
+            || self.by_hand.contains(id)
             || r.ended
             || r.streaming
             || self.now >= r.deadline
@@ -679,7 +690,8 @@
         }
         let Some(r) = self.requests.get(&id) else { return };
         let aside = self.settings.cache != CacheMode::Through;
-        let at_origin = aside && (r.write || r.missed);
+        // With no cache server to ask, reads get what the origin bears.
+        let at_origin = aside && (r.write || r.missed || self.ready == 0.0);
         let target = if at_origin { self.origin(r) } else { self.choose(r) };
         let key = r.key;
         let unknown = target.as_ref().is_some_and(|t| !self.knows(&(key, t.clone())));
@@ -1064,23 +1076,45 @@
                 s.entry.state = ServerState::Gone;
             }
         }
-        for entry in entries {
-            // By chance, so that many nodes don't all send their first attempt at once.
-            let (now, allowance, least) = (self.now, self.random(), self.part(1.0).min(LEAST));
-            let (value, changed) = (self.part(2.0 * FLEET_FLOOR), 0.0);
-            let limit = Limit { value, least, changed };
-            let new = Server { entry: entry.clone(), limit, allowance, answered: now, ..Server::default() };
-            let s = self.servers.entry(entry.server.clone()).or_insert(new);
-            // A fresh start time is a fresh process: what was held against the old one is void.
-            if entry.started.is_some_and(|at| s.entry.started.is_none_or(|old| at > old)) {
-                (s.quiet, s.allowance, s.entry.started) = (0.0, allowance, entry.started);
-                s.limit.value = s.limit.value.max(value);
-            }
-            s.entry = RosterEntry { started: s.entry.started, ..entry };
-        }
+        entries.into_iter().for_each(|entry| self.on_entry(entry));
         self.refresh_slots();
         self.close_drained();
         self.servers.retain(|_, s| s.entry.state != ServerState::Gone || s.in_flight > 0);
         self.dispatch();
     }
+
+    fn on_entry(&mut self, entry: RosterEntry) {
+        // By chance, so that many nodes don't all send their first attempt at once.
+        let (now, allowance, least) = (self.now, self.random(), self.part(1.0).min(LEAST));
+        let (value, changed) = (self.part(2.0 * FLEET_FLOOR), 0.0);
+        let limit = Limit { value, least, changed };
+        let new = Server { entry: entry.clone(), limit, allowance, answered: now, ..Server::default() };
+        let s = self.servers.entry(entry.server.clone()).or_insert(new);
+        // A fresh start time is a fresh process: what was held against the old one is void.
+        if entry.started.is_some_and(|at| s.entry.started.is_none_or(|old| at > old)) {
+            (s.quiet, s.allowance, s.entry.started) = (0.0, allowance, entry.started);
+            s.limit.value = s.limit.value.max(value);
+        }
+        s.entry = RosterEntry { started: s.entry.started, ..entry };
+    }
+
+    /// Out, a server is sent nothing. Back, its process is a fresh one: it warms up from that time on.
+    fn on_hand(&mut self, server: ServerId, back: Option<Seconds>) {
+        match back {
+            Some(at) => {
+                self.by_hand.remove(&server);
+                let entry =
+                    self.servers.get(&server).map(|s| RosterEntry { started: Some(at), ..s.entry.clone() });
+                if let Some(entry) = entry {
+                    self.on_entry(entry);
+                }
+            }
+            None => {
+                self.out.push(Action::CloseIdle(server.clone()));
+                self.by_hand.insert(server);
+            }
+        }
+        self.refresh_slots();
+        self.dispatch();
+    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -439,6 +439,13 @@
         /// What came of it.
         status: Status,
     },
+    /// Operators have taken a server out, listed or not, or have called it back.
+    ByHand {
+        /// The server.
+        server: ServerId,
+        /// When it was called back; `None`: it is out. Its process has been restarted meanwhile.
+        back: Option<Seconds>,
+    },
     /// Another node sent a message.
     Message {
         /// The sender.
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -1089,3 +1089,73 @@
     assert!(usual.is_some_and(|after| after > 0.05 && after < 1.0), "{usual:?}");
     assert_eq!(advice(Limits { retry_after: false, ..heeding }), Some(None));
 }
+
+// ---- Out by hand ----
+
+fn by_hand(node: &mut Node, server: ServerId, back: Option<Seconds>) -> Vec<Action> {
+    node.event(Event::ByHand { server, back })
+}
+
+#[test]
+fn a_server_out_by_hand_is_sent_nothing_whatever_the_list_says_and_comes_back_cold() {
+    let mut node = Node::with(settings(), 1, fleet(4));
+    let keys: Vec<u64> = (0..400).filter(|&n| node.home(n, n) == id(1)).collect();
+    let told = by_hand(&mut node, id(1), None);
+    assert!(told.contains(&Action::CloseIdle(id(1))));
+    assert_eq!(node.balancer.listed(), Listed { all: 4, avoided: 1 });
+    for (n, state) in [ServerState::Ready, ServerState::Gone, ServerState::Ready].into_iter().enumerate() {
+        node.event(Event::Roster(RosterNews::Delta(vec![RosterEntry { state, ..entry(1) }])));
+        node.event(Event::Roster(RosterNews::Delta(vec![RosterEntry {
+            started: Some(node.now),
+            ..entry(2)
+        }])));
+        let left = keys.iter().filter(|&&key| node.home(1000 * (n as u64 + 1) + key, key) == id(1)).count();
+        assert_eq!(left, 0, "{state:?}");
+    }
+    node.pass(10.0);
+    by_hand(&mut node, id(1), None);
+    let at = node.now;
+    by_hand(&mut node, id(1), Some(at));
+    assert_eq!(node.balancer.listed(), Listed { all: 4, avoided: 0 });
+    node.pass(1.0);
+    let share = |node: &mut Node, from: u64| {
+        keys.iter().filter(|&&key| node.home(from + key, key) == id(1)).count() as f64 / keys.len() as f64
+    };
+    let cold = share(&mut node, 10_000);
+    assert!(cold > 0.0 && cold < 0.6, "{cold} of its keys just after its return");
+    node.pass(9.0);
+    assert_eq!(share(&mut node, 20_000), 1.0);
+}
+
+#[test]
+fn a_server_out_by_hand_may_be_unlisted_and_is_out_when_it_comes() {
+    let mut node = Node::with(settings(), 1, fleet(3));
+    by_hand(&mut node, id(4), None);
+    assert!(!node.balancer.lists(&id(4)) && node.balancer.lists(&id(3)));
+    assert_eq!(node.balancer.listed(), Listed { all: 3, avoided: 0 });
+    node.event(Event::Roster(RosterNews::Full(fleet(4))));
+    assert!((0..400).all(|n| node.home(n, n) != id(4)));
+    assert_eq!(node.balancer.listed(), Listed { all: 4, avoided: 1 });
+    // Called back while unlisted, it is used as the list then says.
+    node.event(Event::Roster(RosterNews::Full(fleet(3))));
+    let at = node.now;
+    by_hand(&mut node, id(4), Some(at));
+    node.event(Event::Roster(RosterNews::Full(fleet(4))));
+    node.pass(10.0);
+    assert!((1000..1400).any(|n| node.home(n, n) == id(4)));
+}
+
+#[test]
+fn with_every_cache_server_out_reads_get_what_the_origin_bears() {
+    let aside = Settings { cache: CacheMode::Aside { origin_kind: "origin".into() }, ..settings() };
+    let mut node = Node::with(aside, 1, fleet(2).into_iter().chain([origin()]).collect());
+    for server in [id(1), id(2)] {
+        by_hand(&mut node, server, None);
+    }
+    assert!(!node.balancer.lists(&id(998)), "the origin is no cache server");
+    assert_eq!(sent(&node.request(read(1, 1))), [id(998)]);
+    let actions: Vec<Action> = (2..200).flat_map(|n| node.request(read(n, n))).collect();
+    assert!(sent(&actions).len() < 50, "no flood: {}", sent(&actions).len());
+    let ended = node.pass(1.0).iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+    assert!(ended > 100, "the others are refused: {ended}");
+}
