Take over on an inherited listener while the old process serves, and share its limits

Seen on the untouched program: upgrade+hand ended with "node n0 crashed: exited with 1", as main.rs bound the clients' address, which the first process had. Binding with SO_REUSEPORT was ruled out: the old queue's connections would be lost with it; the platform holds the one queue.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -45,6 +45,10 @@
     /// Connections that upstreams may hold, and clients.
     pub upstream_sockets: usize,
     pub client_sockets: usize,
+    /// The same for both together while two processes of the node run.
+    pub shared_sockets: usize,
+    /// The descriptor of the clients' listener, where the platform holds that.
+    pub socket: Option<String>,
     /// The operators' door, where there is one.
     pub ops: Option<SocketAddr>,
     /// Where the node's processes keep what outlives one of them.
@@ -99,6 +103,8 @@
             seed: u64::from_str_radix(seed, 16).map_err(|e| wrong(format!("seed: {e}")))?,
             upstream_sockets,
             client_sockets: sockets - reserved - upstream_sockets,
+            shared_sockets: sockets.saturating_sub(2 * reserved),
+            socket: var("LB_SOCKET_FD"),
             ops,
             folder: var("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from),
             peer_listen: listed("peer_listen")?,
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -20,6 +20,7 @@
 use crate::config::{Clock, Config, List};
 use crate::discovery::Discovery;
 use crate::figures::{End, Figures, Taken};
+use crate::lifecycle::Lifecycle;
 use crate::peers::Peers;
 use crate::upstream::{Ended, Payload, Reply, Sent, Upstreams};
 
@@ -69,7 +70,10 @@
 }
 
 impl Host {
-    pub async fn start(config: &Config) -> Result<Rc<Self>, Box<dyn std::error::Error>> {
+    pub async fn start(
+        config: &Config,
+        lifecycle: &Rc<Lifecycle>,
+    ) -> Result<Rc<Self>, Box<dyn std::error::Error>> {
         let classes = config.settings.classes.iter().map(|class| class.name.clone());
         let figures = Rc::new(Figures::new(classes));
         let calls = Rc::clone(&figures.backend_calls);
@@ -90,10 +94,10 @@
             figures,
         });
         if host.peers.is_some() {
-            let host = Rc::clone(&host);
+            let (host, lifecycle) = (Rc::clone(&host), Rc::clone(lifecycle));
             spawn_local(async move {
                 if let Some(peers) = &host.peers {
-                    peers.listen(&host).await;
+                    peers.serve(&host, &lifecycle).await;
                 }
             });
         }
@@ -108,6 +112,10 @@
         &self.discovery
     }
 
+    pub fn upstreams(&self) -> &Upstreams {
+        &self.upstreams
+    }
+
     /// Some server can be asked.
     pub fn ready(&self) -> bool {
         self.upstreams.any_ready()
--- a/node/src/lifecycle.rs
+++ b/node/src/lifecycle.rs
@@ -5,8 +5,10 @@
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 
-/// In a drain, connections between requests are closed so long after its begin: until then their clients go on
-/// using them, and each answer asks for the close. New ones come for some 0.3 s.
+/// In a drain, and where another process goes on in this one's place, connections between requests are closed so
+/// long after the begin: until then their clients go on using them, and each answer asks for the close. The front
+/// sends a node that drains new ones for some 0.3 s, and a process that is followed is killed after 2.7 s at the
+/// latest, or after the longest deadline and 0.7 s.
 const LATE: Duration = Duration::from_millis(600);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,8 +53,9 @@
         self.change(State::Serving, Instant::now())
     }
 
-    pub fn stop(&self) {
-        self.change(State::Stopping, Instant::now());
+    pub fn stop(&self, followed: bool) {
+        let late = if followed { LATE } else { Duration::ZERO };
+        self.change(State::Stopping, Instant::now() + late);
     }
 
     /// Saying the same twice changes nothing, so a second drain does not put off the first one's end.
@@ -105,7 +108,7 @@
         assert!(lifecycle.resume());
         assert_eq!(lifecycle.state(), State::Serving);
         lifecycle.drain();
-        lifecycle.stop();
+        lifecycle.stop(false);
         assert!(!lifecycle.resume() && !lifecycle.drain());
         assert_eq!(lifecycle.state(), State::Stopping);
     }
@@ -120,9 +123,13 @@
         lifecycle.resume();
         assert!(tokio::time::timeout(LATE * 10, lifecycle.closes_idle()).await.is_err());
         lifecycle.drain();
-        lifecycle.stop();
+        lifecycle.stop(false);
         let stopped = Instant::now();
         lifecycle.closes_idle().await;
         assert_eq!(stopped.elapsed(), Duration::ZERO);
+        let lifecycle = Lifecycle::new();
+        lifecycle.stop(true);
+        lifecycle.closes_idle().await;
+        assert_eq!(stopped.elapsed(), LATE, "where another process follows, late");
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,17 +1,19 @@
 //! tackstage: one load balancer node on real sockets. It starts, serves until a signal, answers what it has
 //! taken and exits.
 
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod byhand;
 mod config;
 mod discovery;
 mod figures;
 mod host;
+mod inherit;
 mod lifecycle;
 mod ops;
 mod peers;
 mod server;
+mod sharing;
 mod upstream;
 
 use std::process::ExitCode;
@@ -25,6 +27,7 @@
 use host::Host;
 use lifecycle::Lifecycle;
 use ops::Door;
+use server::Clients;
 
 fn main() -> ExitCode {
     match start() {
@@ -47,8 +50,11 @@
 async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let hangup = signal(SignalKind::hangup())?;
-    let listener =
-        TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let listener = match &config.socket {
+        Some(socket) => inherit::listener(socket).and_then(TcpListener::from_std),
+        None => TcpListener::bind(config.listen).await,
+    };
+    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let door = match config.ops {
         Some(ops) => {
             Some(TcpListener::bind(ops).await.map_err(|e| format!("listen for operators on {ops}: {e}"))?)
@@ -60,20 +66,25 @@
     }
     println!("{} listens on {}", config.name, listener.local_addr()?);
     let lifecycle = Rc::new(Lifecycle::new());
-    let host = Host::start(&config).await?;
+    let host = Host::start(&config, &lifecycle).await?;
+    let clients = Clients::new(config.client_sockets);
+    if let Some(folder) = config.folder.as_ref().filter(|_| config.socket.is_some()) {
+        let (host, clients) = (Rc::clone(&host), Rc::clone(&clients));
+        spawn_local(sharing::share(folder.clone(), host, clients, config.shared_sockets));
+    }
     if let Some(door) = door {
         let calls = Door { host: Rc::clone(&host), lifecycle: Rc::clone(&lifecycle) };
         spawn_local(ops::serve(door, calls));
         spawn_local(byhand::follow(Rc::clone(&host)));
     }
     spawn_local(follow_discovery(hangup, Rc::clone(&host)));
-    let serving = server::serve(listener, Rc::clone(&host), &config, Rc::clone(&lifecycle));
+    let serving = server::serve(listener, Rc::clone(&host), clients, &config, Rc::clone(&lifecycle));
     let stopped = async {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
-        lifecycle.stop();
+        lifecycle.stop(config.socket.is_some());
     };
     tokio::join!(serving, stopped);
     Ok(())
--- a/node/src/peers.rs
+++ b/node/src/peers.rs
@@ -1,20 +1,30 @@
 //! Datagrams between nodes. They may be lost, so nobody waits for one.
 
+use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use mallowpaddle::Event;
 use tokio::net::UdpSocket;
+use tokio::time::sleep;
 
 use crate::config::Config;
 use crate::host::Host;
+use crate::lifecycle::Lifecycle;
 
 /// Longest message that nodes may send.
 const LONGEST: usize = 256;
+/// Pause before the address is tried again that an older process of this node has not let go yet.
+const TAKEN_PAUSE: Duration = Duration::from_millis(50);
 
 pub struct Peers {
-    socket: UdpSocket,
+    /// `None` while another process of this node has the address: messages may be lost at any time.
+    socket: RefCell<Option<Rc<UdpSocket>>>,
     own: SocketAddr,
+    /// Processes follow one another here, so the address is let go at a stop.
+    handed_on: bool,
     /// By node number, this node among them.
     peers: Vec<SocketAddr>,
     /// What reaches every node at once, where there is such an address.
@@ -23,13 +33,22 @@
 
 impl Peers {
     /// `None` where the deployment lets nodes not talk.
-    pub async fn bind(config: &Config) -> std::io::Result<Option<Self>> {
+    pub async fn bind(config: &Config) -> io::Result<Option<Self>> {
         let Some(listen) = config.peer_listen.filter(|_| config.settings.limits.peers) else {
             return Ok(None);
         };
-        let socket = UdpSocket::bind(listen).await?;
-        let own = socket.local_addr()?;
-        Ok(Some(Peers { socket, own, peers: config.peers.clone(), all: config.peers_all }))
+        let socket = match UdpSocket::bind(listen).await {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && config.socket.is_some() => None,
+            bound => Some(Rc::new(bound?)),
+        };
+        let own = socket.as_ref().map_or(Ok(listen), |socket| socket.local_addr())?;
+        Ok(Some(Peers {
+            socket: RefCell::new(socket),
+            own,
+            handed_on: config.socket.is_some(),
+            peers: config.peers.clone(),
+            all: config.peers_all,
+        }))
     }
 
     /// Sends to all nodes. What the socket does not take at once is lost, as it may be on the way.
@@ -37,18 +56,29 @@
         if bytes.len() > LONGEST {
             return;
         }
+        let Some(socket) = self.socket.borrow().clone() else { return };
         let each = if self.all.is_some() { &[][..] } else { &self.peers };
         for addr in self.all.iter().chain(each).filter(|addr| **addr != self.own) {
-            let _ = self.socket.try_send_to(bytes, *addr);
+            let _ = socket.try_send_to(bytes, *addr);
         }
     }
 
-    /// Hands on what other nodes send; drops what comes from elsewhere or is too long.
-    pub async fn listen(&self, host: &Rc<Host>) {
+    /// Hands on what other nodes send, until the address is another process's.
+    pub async fn serve(&self, host: &Rc<Host>, lifecycle: &Lifecycle) {
+        tokio::select! {
+            () = self.listen(host) => {}
+            () = lifecycle.stopped(), if self.handed_on => {}
+        }
+        self.socket.take();
+    }
+
+    /// Drops what comes from elsewhere or is too long.
+    async fn listen(&self, host: &Rc<Host>) {
+        let socket = self.bound().await;
         let mut buffer = [0; LONGEST + 1];
         loop {
             // An error here reports an earlier send that reached nobody.
-            let Ok((length, sender)) = self.socket.recv_from(&mut buffer).await else {
+            let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
                 tokio::task::yield_now().await;
                 continue;
             };
@@ -62,4 +92,16 @@
             }
         }
     }
+
+    async fn bound(&self) -> Rc<UdpSocket> {
+        loop {
+            if let Some(socket) = self.socket.borrow().clone() {
+                return socket;
+            }
+            sleep(TAKEN_PAUSE).await;
+            if let Ok(socket) = UdpSocket::bind(self.own).await {
+                self.socket.replace(Some(Rc::new(socket)));
+            }
+        }
+    }
 }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -45,12 +45,12 @@
 const LONGEST_WAIT: u64 = 3_600_000;
 /// After the signal to stop, new connections go on coming for up to 0.4 s.
 const STILL_ACCEPTING: Duration = Duration::from_millis(600);
-/// Pause when no descriptor is left for a connection.
+/// Pause when no descriptor is left for a connection, or nobody yet to send to.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Client connections: how many are open, and which are idle, the longest first.
-struct Clients {
-    most: usize,
+pub struct Clients {
+    most: Cell<usize>,
     open: Cell<usize>,
     next: Cell<u64>,
     idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
@@ -92,6 +92,31 @@
 }
 
 impl Clients {
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Clients {
+            most: Cell::new(most),
+            open: Cell::default(),
+            next: Cell::default(),
+            idle: RefCell::default(),
+            closed: Notify::new(),
+        })
+    }
+
+    pub fn most(&self) -> usize {
+        self.most.get()
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Sets how many may be open from now on. What is open beyond that stays.
+    pub fn bound(&self, most: usize) {
+        if self.most.replace(most) < most {
+            self.closed.notify_waiters();
+        }
+    }
+
     fn join(self: &Rc<Self>) -> Client {
         self.open.set(self.open.get() + 1);
         let client = Client {
@@ -107,7 +132,7 @@
     /// Waits until one more connection fits. One that idles gives way, so that clients which keep many can't
     /// shut out the others.
     async fn room(&self) {
-        while self.open.get() >= self.most {
+        while self.open.get() >= self.most.get() {
             let closed = self.closed.notified();
             if let Some((_, close)) = self.idle.borrow_mut().pop_first() {
                 close.notify_one();
@@ -132,23 +157,31 @@
 }
 
 /// Serves clients until told to stop and all that was taken is answered.
-pub async fn serve(listener: TcpListener, host: Rc<Host>, config: &Config, lifecycle: Rc<Lifecycle>) {
+pub async fn serve(
+    listener: TcpListener,
+    host: Rc<Host>,
+    clients: Rc<Clients>,
+    config: &Config,
+    lifecycle: Rc<Lifecycle>,
+) {
     let settings = config.settings.clone();
     let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     let names = Names::of(&settings);
     let reader = Rc::new(Reader { host, names, settings, lifecycle: Rc::clone(&lifecycle) });
-    let clients = Rc::new(Clients {
-        most: config.client_sockets,
-        open: Cell::new(0),
-        next: Cell::new(0),
-        idle: RefCell::default(),
-        closed: Notify::new(),
-    });
+    // A queue that is shared with another process is left to it until there are servers to ask, and at a stop.
+    let shared = config.socket.is_some();
     tokio::select! {
-        () = accept(&listener, &reader, &clients) => {}
+        () = async {
+            while shared && !reader.host.ready() {
+                sleep(ACCEPT_PAUSE).await;
+            }
+            accept(&listener, &reader, &clients).await;
+        } => {}
         () = async {
             lifecycle.stopped().await;
-            sleep(STILL_ACCEPTING).await;
+            if !shared {
+                sleep(STILL_ACCEPTING).await;
+            }
         } => {}
     }
     drop(listener);
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -218,7 +218,7 @@
 pub struct Upstreams {
     servers: RefCell<HashMap<ServerId, Upstream>>,
     open: Rc<Cell<usize>>,
-    most_open: usize,
+    most_open: Cell<usize>,
     connect_timeout: Duration,
     idle_time: Duration,
     /// How many attempts have been written whole.
@@ -234,7 +234,7 @@
             calls,
             by_hand,
             open: Rc::default(),
-            most_open,
+            most_open: Cell::new(most_open),
             connect_timeout: stated(limits.connect_timeout).unwrap_or(PROBE_TIME),
             idle_time: stated(limits.idle_close * IDLE_PART).unwrap_or(DEFAULT_IDLE),
         });
@@ -242,6 +242,19 @@
         upstreams
     }
 
+    pub fn most(&self) -> usize {
+        self.most_open.get()
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Sets how many connections may be open from now on. What is open beyond that stays.
+    pub fn bound(&self, most: usize) {
+        self.most_open.set(most);
+    }
+
     /// Takes the servers' addresses and states from a list. What is idle where nothing new may go is closed.
     pub fn update(&self, list: &List) {
         let mut servers = self.servers.borrow_mut();
@@ -363,7 +376,7 @@
 
     /// Counts one more socket; at the limit the connection that has been idle longest makes room.
     fn claim_socket(&self) -> Option<OpenSocket> {
-        if self.open.get() >= self.most_open {
+        if self.open.get() >= self.most_open.get() {
             let mut servers = self.servers.borrow_mut();
             let idlest = servers.values_mut().filter(|server| !server.idle.is_empty());
             idlest.min_by_key(|server| server.idle[0].idle_since)?.idle.remove(0);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -346,6 +346,8 @@
     pending: VecDeque<RequestId>,
     budget: Budget,
     ration: Ration,
+    /// Attempts that may be saved up for a cold server.
+    spare: f64,
     /// The share of attempts that got no connection, smoothed.
     unreachable: Mean,
     /// Idle time from which connections are taken for dead, and as of when.
@@ -401,6 +403,7 @@
         Ok(Balancer(Node {
             tightest_aim,
             budget: settings.guarantees.budget.unwrap_or(OWN_BUDGET),
+            spare: SPARE,
             rng: mix(seed),
             hit_time: Mean { value: tightest_aim * CROWDED / 2.0, at: 0.0 },
             wait: Mean { value: CROWDED / 2.0, at: 0.0 },
@@ -463,6 +466,7 @@
                 }
             }
             Event::ByHand { server, back } => self.on_hand(server, back),
+            Event::Shared(shared) => self.on_shared(shared),
             Event::Probed { .. } => {}
         }
     }
@@ -530,7 +534,7 @@
         let multiple = self.settings.guarantees.fall_multiple / 2.0;
         for s in self.servers.values_mut().filter(|s| s.share < s.size) {
             let rate = multiple * s.share / self.sizes.max(s.size) * self.total.at(self.now) / MEMORY;
-            s.allowance = (s.allowance + rate * TICK).min(SPARE);
+            s.allowance = (s.allowance + rate * TICK).min(self.spare);
         }
     }
 
@@ -1117,4 +1121,13 @@
         self.refresh_slots();
         self.dispatch();
     }
+
+    /// What does not go by the requests taken, two processes of a node have half of each.
+    fn on_shared(&mut self, shared: bool) {
+        let part = if shared { 0.5 } else { 1.0 };
+        let budget = self.settings.guarantees.budget.unwrap_or(OWN_BUDGET);
+        self.budget = Budget { free: budget.free * part, ..budget };
+        self.spare = SPARE * part;
+        self.servers.values_mut().for_each(|s| s.allowance = s.allowance.min(self.spare));
+    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -446,6 +446,8 @@
         /// When it was called back; `None`: it is out. Its process has been restarted meanwhile.
         back: Option<Seconds>,
     },
+    /// A second process of this node runs beside this one, or runs no longer. To rules they are one node.
+    Shared(bool),
     /// Another node sent a message.
     Message {
         /// The sender.
