Leave clients the descriptors that are theirs by the terms in an upgrade

At its bound server.rs has idle clients give way, who came again and shut out the next. Now what clients may use by the terms is theirs in whichever process, and upstreams have half of the rest each.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -9,12 +9,16 @@
 use serde_json::Value;
 
 use crate::ops::MOST_CALLERS;
+use crate::sharing::Shared;
 
 /// Descriptors kept for all but clients and upstreams: standard streams, the reactor, signals, the listener,
 /// peers, discovery.
 const RESERVED_SOCKETS: usize = 24;
 /// The same for the operators' door: its listener, its callers and one that waits to be let in.
 const DOOR_SOCKETS: usize = MOST_CALLERS + 2;
+/// Clients' requests take a third of all descriptors at the most by the terms; a few more are let in to be told no.
+const CLIENT_PART: usize = 3;
+const SPARE_CLIENTS: usize = 16;
 /// Held to be allowed where the configuration names no limit.
 const DEFAULT_SOCKETS: usize = 1024;
 /// Fewer can't carry a few clients and a few upstreams.
@@ -46,7 +50,7 @@
     pub upstream_sockets: usize,
     pub client_sockets: usize,
     /// The same for both together while two processes of the node run.
-    pub shared_sockets: usize,
+    pub shared_sockets: Shared,
     /// The descriptor of the clients' listener, where the platform holds that.
     pub socket: Option<String>,
     /// The operators' door, where there is one.
@@ -103,7 +107,10 @@
             seed: u64::from_str_radix(seed, 16).map_err(|e| wrong(format!("seed: {e}")))?,
             upstream_sockets,
             client_sockets: sockets - reserved - upstream_sockets,
-            shared_sockets: sockets.saturating_sub(2 * reserved),
+            shared_sockets: Shared {
+                total: sockets.saturating_sub(2 * reserved),
+                for_clients: sockets / CLIENT_PART + SPARE_CLIENTS,
+            },
             socket: var("LB_SOCKET_FD"),
             ops,
             folder: var("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from),
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -298,9 +298,12 @@
         self.open.get()
     }
 
-    /// Sets how many connections may be open from now on. What is open beyond that stays.
+    /// Sets how many connections may be open from now on. Beyond that idle ones are closed, those in use stay.
     pub fn bound(&self, most: usize) {
         self.most_open.set(most);
+        for _ in most..self.open.get() {
+            self.close_idlest();
+        }
     }
 
     /// Takes the servers' addresses and states from a list. What is idle where nothing new may go is closed.
@@ -441,15 +444,20 @@
 
     /// Counts one more socket; at the limit the connection that has been idle longest makes room.
     fn claim_socket(&self) -> Option<OpenSocket> {
-        if self.open.get() >= self.most_open.get() {
-            let mut servers = self.servers.borrow_mut();
-            let idlest = servers.values_mut().filter(|server| !server.idle.is_empty());
-            idlest.min_by_key(|server| server.idle[0].idle_since)?.idle.remove(0);
+        if self.open.get() >= self.most_open.get() && !self.close_idlest() {
+            return None;
         }
         self.open.set(self.open.get() + 1);
         Some(OpenSocket(Rc::clone(&self.open)))
     }
 
+    /// False where none is idle.
+    fn close_idlest(&self) -> bool {
+        let mut servers = self.servers.borrow_mut();
+        let idlest = servers.values_mut().filter(|server| !server.idle.is_empty());
+        idlest.min_by_key(|server| server.idle[0].idle_since).map(|server| server.idle.remove(0)).is_some()
+    }
+
     /// Reads an answer whole, or the begin of a long one, says what it means and keeps its connection if that can
     /// go on.
     pub async fn read(&self, server: &ServerId, answering: Answering) -> Ended {
