--- a/src/balance.rs
+++ b/src/balance.rs
@@ -317,7 +317,8 @@
     rng: u64,
     now: Seconds,
     out: Vec<Action>,
-    started: bool,
+    /// When the first event came.
+    started: Option<Seconds>,
     servers: BTreeMap<ServerId, Server>,
     /// Servers that operators have taken out, whatever the list says.
     by_hand: BTreeSet<ServerId>,
@@ -450,8 +451,8 @@
 
 impl Node {
     fn on_event(&mut self, event: Event) {
-        if !self.started {
-            self.started = true;
+        if self.started.is_none() {
+            self.started = Some(self.now);
             self.out.push(Action::SetTimer { token: TICK_TOKEN, after: TICK });
             self.follow_roster();
         }
@@ -540,12 +541,19 @@
         let left = 1.0 - TICK / self.ramp();
         self.tenants.iter_mut().for_each(|t| t.used *= left);
         let multiple = self.settings.guarantees.fall_multiple / 2.0;
+        let taken = self.taken_a_second();
         for s in self.servers.values_mut().filter(|s| s.share < s.size) {
-            let rate = multiple * s.share / self.sizes.max(s.size) * self.total.at(self.now) / MEMORY;
+            let rate = multiple * s.share / self.sizes.max(s.size) * taken;
             s.allowance = (s.allowance + rate * TICK).min(self.spare);
         }
     }
 
+    /// Requests taken a second, lately: the fading count of a node that has just started holds few.
+    fn taken_a_second(&self) -> f64 {
+        let runs = self.started.map_or(0.0, |at| self.now - at).max(1.0);
+        self.total.at(self.now) / (MEMORY * (1.0 - (-runs / MEMORY).exp()))
+    }
+
     // ---- Placement ------------------------------------------------------------------------------------
 
     /// This node's part of a figure for all nodes.
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -1248,3 +1248,34 @@
     let ended = node.pass(1.0).iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
     assert!(ended > 100, "the others are refused: {ended}");
 }
+
+/// A node that had just started took its fading count of requests for all that it takes, and sent cold servers next to
+/// nothing: with a new process every few seconds a fleet that was warming up was left idle.
+#[test]
+fn a_node_that_has_just_started_trusts_cold_servers_with_as_much_as_one_that_has_run() {
+    let cold = |ran: f64| {
+        let mut node = Node::with(settings(), 1, fleet(10));
+        let mut next = 0;
+        let mut second = |node: &mut Node| {
+            (0..200)
+                .filter(|_| {
+                    next += 1;
+                    if next % 10 == 0 {
+                        node.pass(0.05);
+                    }
+                    let to = sent(&node.request(read(next, next * 7919)));
+                    to.iter().for_each(|_| drop(node.serve(next)));
+                    to == [id(1)]
+                })
+                .count()
+        };
+        for _ in 0..ran as u64 {
+            second(&mut node);
+        }
+        let entry = RosterEntry { started: Some(node.now), ..entry(1) };
+        node.event(Event::Roster(RosterNews::Delta(vec![entry])));
+        second(&mut node) + second(&mut node)
+    };
+    let (new, old) = (cold(1.0), cold(40.0));
+    assert!(new * 3 >= old * 2 && old > 5, "{new} after one second, {old} after forty");
+}
