Don't take a connection for idle while its last answer is unsent

Ruled out by log lines: attempts stopped after the first byte of their answer (none), a stall of 30 s (none).

The test shows the fault itself.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -81,6 +81,8 @@
     head: Cell<Option<Instant>>,
     /// An answer is on its way out.
     answering: Cell<bool>,
+    /// Something that was begun to be written has not all gone out yet.
+    unsent: Cell<bool>,
     /// An answer has broken off, and its client has to see that it is not whole.
     broken: Cell<bool>,
 }
@@ -121,8 +123,9 @@
 
     /// When it is to be given up, as things stand; `None` while it waits for its answer, which has a time of its own.
     fn due(&self) -> Option<Instant> {
-        if !self.is_idle() {
-            return self.answering.get().then(|| self.moved.get() + STALL);
+        // An answer that hyper holds whole is still the client's to read.
+        if !self.is_idle() || self.unsent.get() {
+            return (self.answering.get() || self.unsent.get()).then(|| self.moved.get() + STALL);
         }
         let due = self.head.get().unwrap_or(self.moved.get()) + HEAD_TIME;
         Some(if *self.begun.borrow() { due } else { due.min(self.came + FIRST_HEAD_TIME) })
@@ -196,6 +199,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
+        self.client.unsent.set(true);
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         if matches!(result, Poll::Ready(Ok(1..))) {
             self.client.on_moved(false);
@@ -208,6 +212,7 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
+        self.client.unsent.set(true);
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         if matches!(result, Poll::Ready(Ok(1..))) {
             self.client.on_moved(false);
@@ -219,7 +224,9 @@
         self.stream.is_write_vectored()
     }
 
+    /// hyper flushes once all that it holds is written.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.client.unsent.set(false);
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -316,6 +323,7 @@
             moved: Cell::new(now),
             head: Cell::default(),
             answering: Cell::default(),
+            unsent: Cell::default(),
             broken: Cell::default(),
         });
         client.idle();
@@ -582,6 +590,26 @@
 mod tests {
     use super::*;
 
+    /// A client that pauses while it reads lost the end of its answer: hyper had taken all of it over, so that the
+    /// connection passed for an idle one.
+    #[test]
+    fn a_connection_is_not_idle_while_its_last_answer_is_unsent() {
+        let clients = Clients::new(1);
+        let joined = clients.join();
+        let client = &joined.0;
+        let time = |client: &Client| client.due().map(|due| due - client.moved.get());
+        assert_eq!(time(client), Some(HEAD_TIME));
+        let busy = client.busy();
+        assert_eq!(time(client), None, "waits for its answer");
+        client.answering.set(true);
+        client.unsent.set(true);
+        assert_eq!(time(client), Some(STALL));
+        drop(busy);
+        assert_eq!(time(client), Some(STALL));
+        client.unsent.set(false);
+        assert_eq!(time(client), Some(HEAD_TIME));
+    }
+
     /// Ten milliseconds of forty were a quarter of what such clients wait, and half of their answers came then.
     #[test]
     fn transit_takes_a_small_part_of_a_short_wait() {
