Give short bodies in pieces up to 2 s, within the 3 s that a new peer is owed

Now 2 s, and on a new connection what is left of the 3 s in which a peer that never ends is owed a close.

Also a log line where a long answer breaks off, and where a client is given up that takes nothing.

--- a/node/src/body.rs
+++ b/node/src/body.rs
@@ -19,10 +19,8 @@
 pub const SHORT: usize = 64 << 10;
 /// Longest body of a request.
 pub const LONGEST: u64 = 32 << 20;
-/// A sender may be slower than bytes at `LEAST_RATE` come by `GRACE` altogether. Clients send 64 kB a second, in
-/// pieces, and by their own clocks, so a quarter less is asked for; what never ends is over within the 3 s that such
-/// a peer is owed.
-const GRACE: Duration = Duration::from_millis(750);
+/// A sender may be slower than bytes at `LEAST_RATE` come by some grace altogether. Clients send 64 kB a second, in
+/// pieces, and by their own clocks, so a quarter less is asked for.
 pub const LEAST_RATE: f64 = 48_000.0;
 /// An answer of unknown length that is not whole so long after its head may be a long one, whose begin counts.
 const HOLD: Duration = Duration::from_millis(50);
@@ -54,17 +52,18 @@
     body: Incoming,
     read: u64,
     waited: Duration,
+    grace: Duration,
 }
 
 impl Source {
-    fn new(body: Incoming) -> Self {
-        Source { body, read: 0, waited: Duration::ZERO }
+    fn new(body: Incoming, grace: Duration) -> Self {
+        Source { body, read: 0, waited: Duration::ZERO, grace }
     }
 
     /// The next piece; trailers say nothing that goes on.
     async fn piece(&mut self) -> Option<Result<Bytes, Fault>> {
         loop {
-            let may_wait = GRACE + Duration::from_secs_f64(self.read as f64 / LEAST_RATE);
+            let may_wait = self.grace + Duration::from_secs_f64(self.read as f64 / LEAST_RATE);
             let asked = Instant::now();
             let frame = poll_fn(|cx| Pin::new(&mut self.body).poll_frame(cx));
             let Ok(frame) = timeout(may_wait.saturating_sub(self.waited), frame).await else {
@@ -111,6 +110,7 @@
     rest: RefCell<mpsc::Receiver<Result<Bytes, Fault>>>,
     /// Its whole length, if stated.
     length: Option<u64>,
+    grace: Duration,
     spent: Cell<bool>,
     failed: Cell<bool>,
     /// The request has its answer.
@@ -131,13 +131,13 @@
 
 impl Content {
     /// Reads a short body whole, a longer one until that shows.
-    pub async fn read(body: Incoming) -> Result<Content, Fault> {
+    pub async fn read(body: Incoming, grace: Duration) -> Result<Content, Fault> {
         let length = body.size_hint().exact();
         if body.size_hint().lower() > LONGEST {
             return Err(Fault::TooLong);
         }
         let long = length.is_some_and(|length| length > SHORT as u64);
-        let (mut source, mut pieces, mut total) = (Source::new(body), Pieces::default(), 0);
+        let (mut source, mut pieces, mut total) = (Source::new(body, grace), Pieces::default(), 0);
         while let Some(piece) = source.piece().await {
             let piece = piece?;
             total += piece.len();
@@ -149,6 +149,7 @@
                     begin: pieces.joined(),
                     rest: RefCell::new(rest),
                     length,
+                    grace,
                     spent: Cell::default(),
                     failed: Cell::default(),
                     over: Cell::default(),
@@ -182,7 +183,7 @@
     /// Longest time that the rest may take to come.
     pub fn may_take(&self) -> Duration {
         let rest = self.length.unwrap_or(LONGEST).saturating_sub(self.begin.len() as u64);
-        GRACE + Duration::from_secs_f64(rest as f64 / LEAST_RATE)
+        self.grace + Duration::from_secs_f64(rest as f64 / LEAST_RATE)
     }
 
     pub fn on_news(&self, tell: impl Fn(News) + 'static) {
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use hyper::header::HeaderValue;
 use mallowpaddle::{
     Action, AttemptId, Balancer, ClassId, Event, Key, Listed, NewRequest, Outcome, RequestId, RosterNews,
     Seconds, ServerId, Status, TenantId, TimerToken,
@@ -319,7 +320,9 @@
             };
             let ended = match answering {
                 Err(ended) => ended,
-                Ok(answering) if answering.may_be_long() => attempt.pass_on(&server, answering).await,
+                Ok(answering) if answering.may_be_long() => {
+                    attempt.pass_on(&server, &payload.id, answering).await
+                }
                 Ok(answering) => tokio::select! {
                     biased;
                     ended = upstreams.read(&server, answering) => ended,
@@ -366,7 +369,7 @@
 
     /// From the head of a long answer on, no timer cuts it, and with the first byte that goes on the client has its
     /// final answer.
-    async fn pass_on(&self, server: &ServerId, answering: Answering) -> Ended {
+    async fn pass_on(&self, server: &ServerId, id: &HeaderValue, answering: Answering) -> Ended {
         let (request, attempt, note) = (self.request, AttemptId(self.number), answering.note());
         self.host.tell(Event::StreamStarted { request, attempt, note });
         let deadline = self.host.move_deadline(request, Instant::now() + BEGIN);
@@ -380,6 +383,9 @@
                 self.host.answer(request, Answer::Served(reply));
             }
             ended.status = self.host.upstreams.finish(server, rest).await;
+            if ended.status == Status::Broken {
+                eprintln!("{} broke off a long answer to request {:?}", server.0, id);
+            }
         }
         ended
     }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -43,6 +43,10 @@
 const HEAD_TIME: Duration = Duration::from_millis(2200);
 /// Who sends nothing, or a first head that never ends, is owed a close within 3 s of connecting.
 const FIRST_HEAD_TIME: Duration = Duration::from_millis(2800);
+/// A body may pause for so long altogether beyond what its least rate allows: clients write small ones in pieces. On
+/// a new connection the 3 s bind it too, but a body whose head took most of them gets the least.
+const BODY_GRACE: Duration = Duration::from_millis(2000);
+const LEAST_GRACE: Duration = Duration::from_millis(500);
 /// Clients take seconds to read a long answer, and servers to go on with one; one of which nothing moves for so long
 /// is given up.
 const STALL: Duration = Duration::from_secs(30);
@@ -97,7 +101,6 @@
     }
 
     fn busy(self: &Rc<Self>) -> Busy {
-        self.begun.send_replace(true);
         self.head.set(None);
         self.leave_idle();
         Busy(Rc::clone(self))
@@ -131,10 +134,24 @@
         Some(if *self.begun.borrow() { due } else { due.min(self.came + FIRST_HEAD_TIME) })
     }
 
+    /// How long the body of the request that has just begun may pause.
+    fn grace(&self) -> Duration {
+        let first = !self.begun.send_replace(true);
+        let left = FIRST_HEAD_TIME.saturating_sub(self.came.elapsed());
+        if first {
+            left.clamp(LEAST_GRACE, BODY_GRACE)
+        } else {
+            BODY_GRACE
+        }
+    }
+
     async fn overdue(&self) {
         loop {
             let (now, due) = (Instant::now(), self.due());
             if due.is_some_and(|due| due <= now) {
+                if !self.is_idle() || self.unsent.get() {
+                    eprintln!("gave up a client that takes nothing of its answer");
+                }
                 return;
             }
             sleep_until(due.map_or(now + LOOK, |due| due.min(now + LOOK)).into()).await;
@@ -406,10 +423,10 @@
     let _ = stream.set_nodelay(true);
     let client = &joined.0;
     let service = service_fn(|request| {
-        let busy = client.busy();
+        let (busy, grace) = (client.busy(), client.grace());
         let (reader, client) = (&reader, client);
         async move {
-            let mut response = reader.respond(request).await;
+            let mut response = reader.respond(request, grace).await;
             if reader.lifecycle.state() != State::Serving {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
@@ -457,12 +474,12 @@
 struct Rejected(StatusCode);
 
 impl Reader {
-    async fn respond(&self, request: Request<Incoming>) -> Response<Outgoing> {
+    async fn respond(&self, request: Request<Incoming>, grace: Duration) -> Response<Outgoing> {
         if request.uri().path() == "/health/ready" {
             let ready = self.host.ready() && self.lifecycle.state() == State::Serving;
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
         }
-        match self.read(request).await {
+        match self.read(request, grace).await {
             Ok((ticket, long)) => {
                 let (answer, taken) = ticket.answer().await;
                 if let Some(long) = long {
@@ -475,7 +492,11 @@
     }
 
     /// Takes a request, and if its body is a long one says where that still comes from.
-    async fn read(&self, request: Request<Incoming>) -> Result<(Ticket, Option<Rc<Long>>), Rejected> {
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        grace: Duration,
+    ) -> Result<(Ticket, Option<Rc<Long>>), Rejected> {
         let (head, body) = request.into_parts();
         let (first, key) = split_path(head.uri.path()).ok_or(Rejected(StatusCode::NOT_FOUND))?;
         let named = self.names.class(first).ok_or(Rejected(StatusCode::NOT_FOUND))?;
@@ -502,7 +523,7 @@
         if head.headers.get_all(header::TRANSFER_ENCODING).iter().any(coded) {
             return Err(Rejected(StatusCode::NOT_IMPLEMENTED));
         }
-        let content = Content::read(body).await.map_err(|fault| {
+        let content = Content::read(body, grace).await.map_err(|fault| {
             Rejected(match fault {
                 Fault::Slow => StatusCode::REQUEST_TIMEOUT,
                 Fault::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -599,6 +620,7 @@
         let client = &joined.0;
         let time = |client: &Client| client.due().map(|due| due - client.moved.get());
         assert_eq!(time(client), Some(HEAD_TIME));
+        assert!(client.grace() > BODY_GRACE / 2 && client.grace() == BODY_GRACE);
         let busy = client.busy();
         assert_eq!(time(client), None, "waits for its answer");
         client.answering.set(true);
--- a/node/tests/bodies.rs
+++ b/node/tests/bodies.rs
@@ -467,6 +467,22 @@
     assert_eq!(client.read().unwrap().status(), 200);
 }
 
+#[test]
+fn a_short_body_may_come_in_pieces_over_a_second() {
+    let origin = Server::start(|_| hit("stored"));
+    let (node, _discovery) = start(&[entry("origin", origin.addr, "active")]);
+    let mut client = connect(&node);
+    for _ in 0..2 {
+        client.write_all(put("Content-Length: 4\r\n").as_bytes()).unwrap();
+        for _ in 0..4 {
+            thread::sleep(Duration::from_millis(350));
+            client.write_all(b"x").unwrap();
+        }
+        assert!(head(&mut client).starts_with("HTTP/1.1 200"));
+        client.read_exact(&mut [0; 6]).unwrap();
+    }
+}
+
 #[test]
 fn bodies_beyond_the_longest_and_other_codings_are_refused_at_once() {
     let (node, _discovery) = start(&[entry("s-1", refusing(), "active")]);
