Let clients that are not done with their heads give way when all places are taken

Who only idles still gives way first. The test fails without it. Also a log line where LB_SOCKET_FD comes without TMPDIR, as the limits can't be shared then.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -72,6 +72,8 @@
     if let Some(folder) = config.folder.as_ref().filter(|_| config.socket.is_some()) {
         let (host, clients) = (Rc::clone(&host), Rc::clone(&clients));
         spawn_local(sharing::share(folder.clone(), host, clients, config.shared_sockets));
+    } else if config.socket.is_some() {
+        eprintln!("TMPDIR is not set: a second process would not share this one's limits");
     }
     if let Some(door) = door {
         let calls = Door { host: Rc::clone(&host), lifecycle: Rc::clone(&lifecycle) };
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -74,7 +74,7 @@
     clients: Rc<Clients>,
     /// Its place among the idle ones while it is idle.
     place: Cell<Option<u64>>,
-    /// Asks it to close once it is between requests.
+    /// Asks it to close.
     close: Notify,
     /// Its first request has come.
     begun: watch::Sender<bool>,
@@ -85,6 +85,8 @@
     head: Cell<Option<Instant>>,
     /// An answer is on its way out.
     answering: Cell<bool>,
+    /// Its place is another's.
+    gives_way: Cell<bool>,
     /// Something that was begun to be written has not all gone out yet.
     unsent: Cell<bool>,
     /// An answer has broken off, and its client has to see that it is not whole.
@@ -340,6 +342,7 @@
             moved: Cell::new(now),
             head: Cell::default(),
             answering: Cell::default(),
+            gives_way: Cell::default(),
             unsent: Cell::default(),
             broken: Cell::default(),
         });
@@ -348,11 +351,16 @@
     }
 
     /// Waits until one more connection fits. One that idles gives way, so that clients which keep many can't
-    /// shut out the others.
+    /// shut out the others; if there is none, one that is not done with its head.
     async fn room(&self) {
         while self.open.get() >= self.most.get() {
             let closed = self.closed.notified();
-            if let Some((_, client)) = self.idle.borrow_mut().pop_first() {
+            let idle = || self.idle.borrow();
+            let place =
+                idle().iter().find(|(_, client)| client.head.get().is_none()).map(|(place, _)| *place);
+            let place = place.or_else(|| idle().keys().next().copied());
+            if let Some(client) = place.and_then(|place| self.idle.borrow_mut().remove(&place)) {
+                client.gives_way.set(true);
                 client.close.notify_one();
             }
             closed.await;
@@ -458,8 +466,10 @@
             () = wound_up.as_mut(), if !winding_up => winding_up = true,
         }
         // hyper would drop a head that has come in part. Its answer asks for the close where that is still wanted.
-        if client.head.get().is_none() {
-            break;
+        match client.head.get() {
+            None => break,
+            Some(_) if client.gives_way.get() => return,
+            Some(_) => {}
         }
     }
     // Closes at once between requests, else with the answer.
@@ -610,6 +620,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::time::timeout;
 
     /// A client that pauses while it reads lost the end of its answer: hyper had taken all of it over, so that the
     /// connection passed for an idle one.
@@ -632,6 +643,25 @@
         assert_eq!(time(client), Some(HEAD_TIME));
     }
 
+    #[tokio::test]
+    async fn who_only_idles_gives_way_first_and_then_who_is_not_done_with_its_head() {
+        let clients = Clients::new(3);
+        let joined = [(); 3].map(|()| clients.join());
+        let [first, second, third] = joined.each_ref().map(|joined| &joined.0);
+        first.on_moved(true);
+        let busy = third.busy();
+        for (gives_way, rest) in
+            [([false, true, false], 2), ([true, true, false], 1), ([true, true, false], 1)]
+        {
+            assert!(timeout(Duration::ZERO, clients.room()).await.is_err(), "nobody has left yet");
+            assert_eq!([first, second, third].map(|client| client.gives_way.get()), gives_way);
+            assert_eq!(clients.idle.borrow().len() + 1, rest);
+        }
+        drop(busy);
+        drop(joined);
+        clients.room().await;
+    }
+
     /// Ten milliseconds of forty were a quarter of what such clients wait, and half of their answers came then.
     #[test]
     fn transit_takes_a_small_part_of_a_short_wait() {
