Warm a called-back server up from the start that the list told of while it was out

Where the list tells of no start since the call out, the call back counts as before.

A test for shared budgets and allowances was missing, and is added.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,7 +4,7 @@
 //! Loads"): a key goes to the owner of slot h(key, 0) of a fixed array, and from an owner at its cap on to
 //! the owners of h(key, 1), h(key, 2) and so on. What departs from that says when it acts.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
 
@@ -320,8 +320,8 @@
     /// When the first event came.
     started: Option<Seconds>,
     servers: BTreeMap<ServerId, Server>,
-    /// Servers that operators have taken out, whatever the list says.
-    by_hand: BTreeSet<ServerId>,
+    /// Servers that operators have taken out, whatever the list says, and since when.
+    by_hand: BTreeMap<ServerId, Seconds>,
     slots: SlotArray,
     /// Servers that may be sent to, and the sums of their sizes and shares.
     ready: f64,
@@ -438,7 +438,7 @@
         let node = &self.0;
         let listed = |s: &&Server| s.entry.state != ServerState::Gone && !is_origin(&node.settings, s);
         let servers = node.servers.values().filter(listed);
-        let avoided = |s: &&Server| node.now < s.quiet || node.by_hand.contains(&s.entry.server);
+        let avoided = |s: &&Server| node.now < s.quiet || node.by_hand.contains_key(&s.entry.server);
         Listed { all: servers.clone().count(), avoided: servers.filter(avoided).count() }
     }
 
@@ -523,7 +523,7 @@
                 resized.push((id.clone(), size));
             }
             s.share = 0.0;
-            if size > 0.0 && s.entry.state == ServerState::Ready && !self.by_hand.contains(id) {
+            if size > 0.0 && s.entry.state == ServerState::Ready && !self.by_hand.contains_key(id) {
                 s.share = size * s.warmth(self.now, &self.settings.guarantees);
                 self.ready += 1.0;
                 self.sizes += size;
@@ -621,7 +621,7 @@
     fn may_send(&self, r: &Request, id: &ServerId, server: &Server) -> bool {
         let limits = &self.settings.limits;
         if server.entry.state != ServerState::Ready
-            || self.by_hand.contains(id)
+            || self.by_hand.contains_key(id)
             || r.ended
             || r.spent
             || r.streaming
@@ -1164,20 +1164,20 @@
         s.entry = RosterEntry { started: s.entry.started, ..entry };
     }
 
-    /// Out, a server is sent nothing. Back, its process is a fresh one: it warms up from that time on.
+    /// Out, a server is sent nothing. Back, its process is a fresh one: it warms up from the start that the
+    /// list told of meanwhile, otherwise from the call back on.
     fn on_hand(&mut self, server: ServerId, back: Option<Seconds>) {
         match back {
             Some(at) => {
-                self.by_hand.remove(&server);
-                let entry =
-                    self.servers.get(&server).map(|s| RosterEntry { started: Some(at), ..s.entry.clone() });
-                if let Some(entry) = entry {
-                    self.on_entry(entry);
+                let out = self.by_hand.remove(&server).unwrap_or(at);
+                let entry = self.servers.get(&server).map(|s| s.entry.clone());
+                if let Some(entry) = entry.filter(|entry| entry.started.is_none_or(|started| started < out)) {
+                    self.on_entry(RosterEntry { started: Some(at), ..entry });
                 }
             }
             None => {
                 self.out.push(Action::CloseIdle(server.clone()));
-                self.by_hand.insert(server);
+                self.by_hand.entry(server).or_insert(self.now);
             }
         }
         self.refresh_slots();
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -1216,6 +1216,31 @@
     assert_eq!(share(&mut node, 20_000), 1.0);
 }
 
+/// The call back for its start left a server with a third of its warm-up behind it nearly unused.
+#[test]
+fn a_server_called_back_warms_up_from_the_start_that_the_list_told_of() {
+    let keys_of_one = |started: f64| {
+        let mut node = Node::with(settings(), 1, fleet(4));
+        let keys: Vec<u64> = (0..1000).filter(|&n| node.home(n, n) == id(1)).collect();
+        by_hand(&mut node, id(1), None);
+        node.pass(6.0);
+        let entry = RosterEntry { started: Some(node.now - started), ..entry(1) };
+        node.event(Event::Roster(RosterNews::Delta(vec![entry])));
+        let at = node.now;
+        by_hand(&mut node, id(1), Some(at));
+        // Not faster than a cold server's allowance grows.
+        let takes = |key: &&u64| {
+            node.pass(0.05);
+            node.home(10_000 + **key, **key) == id(1)
+        };
+        keys.iter().take(40).filter(takes).count()
+    };
+    // Since the call out, before it, and long before that: the latter two tell of no restart.
+    let [since, before, long_before] = [4.0, 7.0, 100.0].map(keys_of_one);
+    assert_eq!(before, long_before);
+    assert!(since > before * 3 / 2 && before > 0, "{since} keys instead of {before}");
+}
+
 #[test]
 fn a_server_out_by_hand_may_be_unlisted_and_is_out_when_it_comes() {
     let mut node = Node::with(settings(), 1, fleet(3));
@@ -1279,3 +1304,32 @@
     let (new, old) = (cold(1.0), cold(40.0));
     assert!(new * 3 >= old * 2 && old > 5, "{new} after one second, {old} after forty");
 }
+
+#[test]
+fn two_processes_of_a_node_have_one_budget_and_one_allowance() {
+    let tries = |shared: bool| {
+        let mut tight = settings();
+        tight.guarantees.budget = Some(Budget { span: 10.0, free: 8.0, ratio: 0.0 });
+        let mut node = Node::with(tight, 1, fleet(4));
+        node.event(Event::Shared(true));
+        node.event(Event::Shared(shared));
+        let again = |n: u64| {
+            node.request(read(n, n));
+            sent(&node.outcome(n, Status::Overloaded, None)).len()
+        };
+        (1..30).map(again).sum::<usize>()
+    };
+    assert_eq!((tries(true), tries(false)), (4, 8));
+    let cold = |shared: bool| {
+        let mut node = Node::with(settings(), 1, fleet(2));
+        (0..400).for_each(|n| drop(node.home(n, n)));
+        let entry = RosterEntry { started: Some(node.now), ..entry(1) };
+        node.event(Event::Roster(RosterNews::Delta(vec![entry])));
+        node.event(Event::Shared(shared));
+        // Long enough to save up all that may be saved up, too short to warm up.
+        node.pass(2.0);
+        (1000..1400).filter(|&n| node.home(n, n) == id(1)).count()
+    };
+    let (half, whole) = (cold(true), cold(false));
+    assert_eq!((half, whole), (2, 4));
+}
