Let test servers end a connection once the node has seen its end

A test of kept connections failed once on a busy machine (503 for 200): over loopback the end of one connection can arrive after what is sent later on another, so the node used what its server had closed. The server now closes its sending side and waits for the node's close.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -126,7 +126,14 @@
             Reply::Keep(text) | Reply::Close(text) => text.as_str(),
             Reply::Silence => "",
         };
-        if stream.write_all(text.as_bytes()).is_err() || matches!(reply, Reply::Close(_)) {
+        if stream.write_all(text.as_bytes()).is_err() {
+            return;
+        }
+        if matches!(reply, Reply::Close(_)) {
+            // The end counts once the node has seen it: on a busy machine it may come after what is sent later.
+            let _ = stream.shutdown(Shutdown::Write);
+            let _ = stream.set_read_timeout(Some(PATIENCE));
+            let _ = std::io::copy(&mut reader, &mut std::io::sink());
             return;
         }
     }
