--- a/node/src/body.rs
+++ b/node/src/body.rs
@@ -3,25 +3,25 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::future::poll_fn;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
 /// Longest body that is kept whole.
-pub const SHORT: usize = 64 << 10;
+const SHORT: usize = 64 << 10;
 /// Longest body of a request.
-pub const LONGEST: u64 = 32 << 20;
+const LONGEST: u64 = 32 << 20;
 /// A sender may be slower than bytes at `LEAST_RATE` come by some grace altogether. Clients send 64 kB a second, in
 /// pieces, and by their own clocks, so a quarter less is asked for.
-pub const LEAST_RATE: f64 = 48_000.0;
+const LEAST_RATE: f64 = 48_000.0;
 /// An answer of unknown length that is not whole so long after its head may be a long one, whose begin counts.
 const HOLD: Duration = Duration::from_millis(50);
 
@@ -65,8 +65,7 @@
         loop {
             let may_wait = self.grace + Duration::from_secs_f64(self.read as f64 / LEAST_RATE);
             let asked = Instant::now();
-            let frame = poll_fn(|cx| Pin::new(&mut self.body).poll_frame(cx));
-            let Ok(frame) = timeout(may_wait.saturating_sub(self.waited), frame).await else {
+            let Ok(frame) = timeout(may_wait.saturating_sub(self.waited), self.body.frame()).await else {
                 return Some(Err(Fault::Slow));
             };
             self.waited += asked.elapsed();
@@ -321,10 +320,9 @@
         let mut held = pin!(sleep(hold));
         let (mut pieces, mut total) = (Pieces::default(), 0);
         while !long || total <= SHORT {
-            let frame = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx));
             let frame = tokio::select! {
                 biased;
-                frame = frame => frame,
+                frame = body.frame() => frame,
                 () = held.as_mut(), if long => break,
             };
             match frame.map(|frame| frame.map(Frame::into_data)) {
