Add the list service, its client and the command shaletrail

Need: a list of our own that loses nothing it has acknowledged. Change: crates wire, client, registry and cli.

New crates, each with its reason: openraft 0.9 (the order of changes), redb (checksummed commits), crc32fast (records' own checksums), clap, toml and serde (arguments and configuration), tracing (logs), thiserror (typed errors). All are MIT or Apache-2.0. The node links none of them: they are outside the workspace's default members.

--- /dev/null
+++ b/cli/src/list.rs
@@ -0,0 +1,62 @@
+//! `shaletrail list`
+
+use std::io::Write;
+use std::net::SocketAddr;
+
+use shaletrail_client::driver::{ask, Following, News};
+use shaletrail_client::follow::{Ask, Retry};
+use shaletrail_wire::List;
+
+use crate::Failure;
+
+#[derive(clap::Args)]
+pub struct Args {
+    /// Where the list is read
+    #[arg(long, value_delimiter = ',', default_value = "127.0.0.1:8500")]
+    registry: Vec<SocketAddr>,
+    /// One JSON object a line, in the protocol's form
+    #[arg(long)]
+    json: bool,
+    /// Go on with every change
+    #[arg(long)]
+    watch: bool,
+}
+
+pub async fn run(args: Args) -> Result<(), Failure> {
+    if !args.watch {
+        let mut trouble = String::new();
+        for addr in &args.registry {
+            match ask(*addr, Ask::Whole).await {
+                Ok(list) => return show(&list, args.json),
+                Err(e) => trouble = format!("{addr}: {e}"),
+            }
+        }
+        return Err(Failure::Failed(trouble));
+    }
+    let mut following = Following::new(args.registry, None, Retry::Own, u64::from(std::process::id()));
+    following.start();
+    loop {
+        match following.next().await {
+            News::List(list) if list.servers.is_empty() && !list.full => {}
+            News::List(list) => show(&list, args.json)?,
+            News::Failed(what) => tracing::warn!("{what}"),
+        }
+    }
+}
+
+fn show(list: &List, as_json: bool) -> Result<(), Failure> {
+    let mut text = String::new();
+    if as_json {
+        text = serde_json::to_string(list).map_err(Failure::failed)? + "\n";
+    } else {
+        let kind = if list.full { "whole list" } else { "changes" };
+        text += &format!("version {}, {kind}\n", list.version);
+        for entry in &list.servers {
+            let state = format!("{:?}", entry.state).to_lowercase();
+            text +=
+                &format!("  {:<24} {:<21} {state:<8} {} {}\n", entry.id, entry.addr, entry.zone, entry.kind);
+        }
+    }
+    let mut out = std::io::stdout().lock();
+    out.write_all(text.as_bytes()).and_then(|()| out.flush()).map_err(Failure::failed)
+}
--- /dev/null
+++ b/client/src/changes.rs
@@ -0,0 +1,132 @@
+//! Changes of the list, put until they hold or are refused. Every change may be put twice: the second changes
+//! nothing.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hyper::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use shaletrail_wire::{Refusal, INSTANCES, LONGEST_CALL};
+
+use crate::call::{Call, Line};
+
+/// For one call at one endpoint; the leader's own limit is below it.
+const CALL_TIME: Duration = Duration::from_secs(6);
+/// Between two rounds of all endpoints.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Why a change does not hold.
+#[derive(Debug, thiserror::Error)]
+pub enum ChangeError {
+    /// The service has answered no, and the change has not happened.
+    #[error("refused ({status}): {why}")]
+    Refused { status: StatusCode, why: String },
+    /// No endpoint took it in time, and it surely has not happened.
+    #[error("not done: {0}")]
+    NotDone(String),
+    /// It may have happened, or may yet.
+    #[error("unknown whether done: {0}")]
+    Unknown(String),
+    #[error("can't be put: {0}")]
+    Unusable(#[from] serde_json::Error),
+}
+
+/// Puts changes at any of some endpoints, the one that last took one first.
+pub struct Changes {
+    endpoints: Vec<SocketAddr>,
+    at: usize,
+}
+
+impl Changes {
+    pub fn new(endpoints: Vec<SocketAddr>) -> Self {
+        Changes { endpoints, at: 0 }
+    }
+
+    /// Puts an idempotent call again and again, for so long at the most.
+    ///
+    /// # Errors
+    /// Tells whether it may have happened.
+    pub async fn put<A: DeserializeOwned>(
+        &mut self,
+        method: Method,
+        path: &str,
+        question: &impl Serialize,
+        time: Duration,
+    ) -> Result<A, ChangeError> {
+        let body: bytes::Bytes = serde_json::to_vec(question)?.into();
+        let until = Instant::now() + time;
+        let mut ran = false;
+        let mut tries = 0;
+        loop {
+            let Some(addr) = self.endpoints.get(self.at).copied() else {
+                return Err(ChangeError::NotDone("no endpoint is known".into()));
+            };
+            let call = Call {
+                method: method.clone(),
+                path,
+                headers: &[],
+                body: body.clone(),
+                most: LONGEST_CALL,
+                last: true,
+            };
+            let left = until.saturating_duration_since(Instant::now()).min(CALL_TIME);
+            let trouble = match Line::new(addr).within(left, call).await {
+                Ok(answer) if answer.status.is_success() => match serde_json::from_slice(&answer.body) {
+                    Ok(told) => return Ok(told),
+                    Err(e) => {
+                        ran = true;
+                        format!("{addr}: {e}")
+                    }
+                },
+                Ok(answer) => {
+                    let refusal = serde_json::from_slice::<Refusal>(&answer.body);
+                    let why = refusal.map_or_else(|_| String::new(), |refusal| refusal.error);
+                    if answer.status.is_client_error() {
+                        return Err(ChangeError::Refused { status: answer.status, why });
+                    }
+                    ran |= !answer.headers.contains_key(shaletrail_wire::NOT_RUN);
+                    format!("{addr}: {} {why}", answer.status)
+                }
+                Err(e) => {
+                    ran |= !e.not_run();
+                    format!("{addr}: {e}")
+                }
+            };
+            self.at = (self.at + 1) % self.endpoints.len();
+            tries += 1;
+            if Instant::now() >= until {
+                return Err(if ran { ChangeError::Unknown(trouble) } else { ChangeError::NotDone(trouble) });
+            }
+            if tries % self.endpoints.len() == 0 {
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+
+    /// One call that changes nothing.
+    ///
+    /// # Errors
+    /// The last endpoint's trouble.
+    pub async fn get(&mut self, path: &str, most: usize) -> Result<bytes::Bytes, ChangeError> {
+        let mut trouble = "no endpoint is known".to_owned();
+        for _ in 0..self.endpoints.len() {
+            let addr = self.endpoints[self.at];
+            match Line::new(addr).within(CALL_TIME, Call::get(path, most)).await {
+                Ok(answer) if answer.status.is_success() => return Ok(answer.body),
+                Ok(answer) => {
+                    trouble = format!("{addr}: {} {}", answer.status, String::from_utf8_lossy(&answer.body));
+                }
+                Err(e) => trouble = format!("{addr}: {e}"),
+            }
+            self.at = (self.at + 1) % self.endpoints.len();
+        }
+        Err(ChangeError::NotDone(trouble))
+    }
+}
+
+/// The path of one entry's call: none, `renew` or `leaving`.
+pub fn entry_path(id: &str, call: &str) -> String {
+    let slash = if call.is_empty() { "" } else { "/" };
+    format!("{INSTANCES}/{id}{slash}{call}")
+}
--- /dev/null
+++ b/client/src/driver.rs
@@ -0,0 +1,180 @@
+//! Following the list over sockets: gives the pure core of [`crate::follow`] its time and its calls.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+use hyper::StatusCode;
+use shaletrail_wire::{List, INSTANCES, LONGEST_LIST};
+use tokio::time::sleep_until;
+
+use crate::call::{Call, CallError, Line};
+use crate::follow::{Action, Ask, CallId, Follower, Retry, Told};
+
+/// Far above what the core allows: it gives calls up itself.
+const LONGEST_CALL: Duration = Duration::from_secs(120);
+
+/// Why a call brought no list.
+#[derive(Debug)]
+pub enum NoList {
+    Call(CallError),
+    Status(StatusCode),
+    Rotten,
+}
+
+impl fmt::Display for NoList {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NoList::Call(e) => write!(f, "{e}"),
+            NoList::Status(status) => write!(f, "answered {status}"),
+            NoList::Rotten => write!(f, "answered what is no list"),
+        }
+    }
+}
+
+/// What following brings.
+#[derive(Debug)]
+pub enum News {
+    /// The whole list, or what has changed since the last news.
+    List(List),
+    /// No endpoint answers; the last list stands.
+    Failed(String),
+}
+
+/// One call for the list at one address.
+///
+/// # Errors
+/// Whatever is no list of this protocol.
+pub async fn ask(addr: SocketAddr, ask: Ask) -> Result<List, NoList> {
+    let path = match ask {
+        Ask::Whole => INSTANCES.to_owned(),
+        Ask::Changes { from, hold } => format!("{INSTANCES}?from={from}&hold_ms={}", hold.as_millis()),
+    };
+    // Calls are rare, so each has a connection of its own: none can turn out stale.
+    let answer = Line::new(addr).within(LONGEST_CALL, Call::get(&path, LONGEST_LIST)).await;
+    let answer = answer.map_err(NoList::Call)?;
+    if answer.status != StatusCode::OK {
+        return Err(NoList::Status(answer.status));
+    }
+    serde_json::from_slice(&answer.body).map_err(|_| NoList::Rotten)
+}
+
+type Asking = Pin<Box<dyn Future<Output = Result<List, NoList>> + Send>>;
+
+/// Follows the list at some endpoints.
+pub struct Following {
+    follower: Follower,
+    endpoints: Vec<SocketAddr>,
+    began: Instant,
+    out: Vec<(CallId, SocketAddr, Asking)>,
+    news: VecDeque<News>,
+    /// Why the last call brought nothing.
+    trouble: String,
+}
+
+impl Following {
+    /// `held`: the version of a list that is known already. Nothing is asked before [`Following::start`].
+    pub fn new(endpoints: Vec<SocketAddr>, held: Option<u64>, retry: Retry, seed: u64) -> Self {
+        Following {
+            follower: Follower::new(endpoints.len(), held, retry, seed),
+            endpoints,
+            began: Instant::now(),
+            out: Vec::new(),
+            news: VecDeque::new(),
+            trouble: String::new(),
+        }
+    }
+
+    pub fn start(&mut self) {
+        let mut actions = Vec::new();
+        self.follower.start(self.began.elapsed(), &mut actions);
+        self.act(actions, None);
+    }
+
+    /// The list is at other endpoints from now on. The same ones change nothing.
+    pub fn move_to(&mut self, endpoints: Vec<SocketAddr>) {
+        if self.endpoints == endpoints {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.endpoints = endpoints;
+        self.follower.moved(self.endpoints.len(), self.began.elapsed(), &mut actions);
+        self.act(actions, None);
+    }
+
+    /// The next news. May be dropped and called again at any time; nothing is lost.
+    pub async fn next(&mut self) -> News {
+        loop {
+            if let Some(news) = self.news.pop_front() {
+                return news;
+            }
+            let wake = self.follower.wake().map(|at| self.began + at);
+            let ended = tokio::select! {
+                ended = any(&mut self.out) => Some(ended),
+                () = sleep_until(wake.unwrap_or(self.began).into()), if wake.is_some() => None,
+            };
+            let now = self.began.elapsed();
+            let mut actions = Vec::new();
+            match ended {
+                None => {
+                    self.follower.tick(now, &mut actions);
+                    self.act(actions, None);
+                }
+                Some(place) => {
+                    let (call, addr, result) = place;
+                    let told = match &result {
+                        Ok(list) => Some(Told {
+                            version: list.version,
+                            full: list.full,
+                            empty: list.servers.is_empty(),
+                        }),
+                        Err(what) => {
+                            self.trouble = format!("{addr}: {what}");
+                            None
+                        }
+                    };
+                    self.follower.ended(call, told, now, &mut actions);
+                    self.act(actions, result.ok());
+                }
+            }
+        }
+    }
+
+    fn act(&mut self, actions: Vec<Action>, mut list: Option<List>) {
+        for action in actions {
+            match action {
+                Action::Call { call, endpoint, ask: what } => {
+                    if let Some(addr) = self.endpoints.get(endpoint).copied() {
+                        self.out.push((call, addr, Box::pin(ask(addr, what))));
+                    }
+                }
+                Action::Drop { call } => {
+                    if let Some(place) = self.out.iter().position(|(out, ..)| *out == call) {
+                        let (_, addr, _) = self.out.swap_remove(place);
+                        self.trouble = format!("{addr}: no answer in time");
+                    }
+                }
+                Action::Tell { .. } => self.news.extend(list.take().map(News::List)),
+                Action::Failed => self.news.push_back(News::Failed(self.trouble.clone())),
+            }
+        }
+    }
+}
+
+/// The first of the calls to end, taken out. Waits for ever where none is out.
+async fn any(out: &mut Vec<(CallId, SocketAddr, Asking)>) -> (CallId, SocketAddr, Result<List, NoList>) {
+    std::future::poll_fn(|context| {
+        for place in 0..out.len() {
+            if let Poll::Ready(result) = out[place].2.as_mut().poll(context) {
+                let (call, addr, _) = out.swap_remove(place);
+                return Poll::Ready((call, addr, result));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,318 @@
+//! The list's form and every call's JSON. Nowhere else do names on the wire stand.
+//!
+//! Sources: the platform's protocol, "Discovery", for [`List`] and [`Entry`]; `docs/registry.md` for the rest.
+
+#![deny(unsafe_code)]
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::Value;
+
+/// Longest id, zone or kind, in bytes.
+pub const LONGEST_NAME: usize = 128;
+/// Shortest and longest lease, in seconds.
+pub const LEASE_S: std::ops::RangeInclusive<f64> = 0.1..=86_400.0;
+/// Longest a watch may wait, by the protocol.
+pub const LONGEST_HOLD: Duration = Duration::from_secs(60);
+/// Set on a refusal of a change that surely has not happened.
+pub const NOT_RUN: &str = "x-not-run";
+/// Most ids that one call renews.
+pub const MOST_RENEWED: usize = 10_000;
+/// Most bytes of a changing call's body: a renewal of [`MOST_RENEWED`] ids of usual length fits.
+pub const LONGEST_CALL: usize = 2 << 20;
+/// Most bytes of a list.
+pub const LONGEST_LIST: usize = 16 << 20;
+
+/// Where the list is read.
+pub const INSTANCES: &str = "/registry/instances";
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    #[default]
+    Active,
+    /// Finishes the work that it has, and wants nothing new.
+    Leaving,
+    /// Only among changes.
+    Left,
+}
+
+/// One cache server, or the origin. Read with patience, as lists come from the platform too: only an id and an
+/// address must be there, and a state that nobody knows wants nothing new.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    pub id: String,
+    pub addr: SocketAddr,
+    #[serde(default, deserialize_with = "patient")]
+    pub zone: String,
+    #[serde(default, deserialize_with = "patient")]
+    pub kind: String,
+    #[serde(default, deserialize_with = "patient")]
+    pub cell: u64,
+    #[serde(default = "unknown_state", deserialize_with = "patient_state")]
+    pub state: State,
+    #[serde(default = "one", deserialize_with = "patient_weight")]
+    pub weight: f64,
+    /// Its process's start in Unix time, in milliseconds; 0 is long ago.
+    #[serde(default, deserialize_with = "patient_ms")]
+    pub started_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn unknown_state() -> State {
+    State::Leaving
+}
+
+fn or<'de, D: Deserializer<'de>, T: DeserializeOwned>(from: D, otherwise: T) -> Result<T, D::Error> {
+    Ok(serde_json::from_value(Value::deserialize(from)?).unwrap_or(otherwise))
+}
+
+fn patient<'de, D: Deserializer<'de>, T: DeserializeOwned + Default>(from: D) -> Result<T, D::Error> {
+    or(from, T::default())
+}
+
+fn patient_state<'de, D: Deserializer<'de>>(from: D) -> Result<State, D::Error> {
+    or(from, unknown_state())
+}
+
+fn patient_weight<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    or(from, one())
+}
+
+/// Whole or not, as some write it.
+fn patient_ms<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    Ok(or(from, 0.0_f64)?.max(0.0) as u64)
+}
+
+/// The whole list, or the entries that changed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct List {
+    pub version: u64,
+    pub full: bool,
+    pub servers: Vec<Entry>,
+}
+
+/// What orders the lives of one id: a later start, or the same start and a higher incarnation, is newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stamp {
+    #[serde(default)]
+    pub started_ms: u64,
+    /// For lives that have no start of their own.
+    #[serde(default)]
+    pub incarnation: u64,
+}
+
+impl Stamp {
+    /// The caller gave nothing to go by.
+    pub fn is_none(self) -> bool {
+        self == Stamp::default()
+    }
+}
+
+/// `PUT /registry/instances/ID`: an entry, and for how long it stands without a renewal.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Register {
+    /// May stand here as well as in the path.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub id: Option<String>,
+    pub addr: SocketAddr,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub kind: String,
+    #[serde(default)]
+    pub cell: u64,
+    #[serde(default)]
+    pub state: State,
+    #[serde(default = "one")]
+    pub weight: f64,
+    #[serde(default)]
+    pub started_ms: u64,
+    #[serde(default)]
+    pub incarnation: u64,
+    /// Seconds; without it the entry stands until it is removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_s: Option<f64>,
+}
+
+impl Register {
+    pub fn new(entry: &Entry, lease_s: Option<f64>) -> Self {
+        Register {
+            id: Some(entry.id.clone()),
+            addr: entry.addr,
+            zone: entry.zone.clone(),
+            kind: entry.kind.clone(),
+            cell: entry.cell,
+            state: entry.state,
+            weight: entry.weight,
+            started_ms: entry.started_ms,
+            incarnation: 0,
+            lease_s,
+        }
+    }
+
+    /// The entry as it is listed, its stamp and its lease.
+    ///
+    /// # Errors
+    /// Names the first field that is out of bounds.
+    pub fn check(self, id: &str) -> Result<(Entry, Stamp, Option<Duration>), Invalid> {
+        check_id(id)?;
+        if self.id.as_deref().is_some_and(|own| own != id) {
+            return Err(Invalid("id: the path's id expected, or none".into()));
+        }
+        for (name, text) in [("zone", &self.zone), ("kind", &self.kind)] {
+            if text.len() > LONGEST_NAME || text.chars().any(char::is_control) {
+                return Err(Invalid(format!("{name}: at most {LONGEST_NAME} bytes of text expected")));
+            }
+        }
+        if self.state == State::Left {
+            return Err(Invalid("state: `active` or `leaving` expected; DELETE removes an entry".into()));
+        }
+        if !(self.weight.is_finite() && self.weight >= 0.0) {
+            return Err(Invalid(format!("weight: a number of 0 or more expected, got {}", self.weight)));
+        }
+        let lease = match self.lease_s {
+            Some(s) if !LEASE_S.contains(&s) => {
+                let (least, most) = (LEASE_S.start(), LEASE_S.end());
+                return Err(Invalid(format!("lease_s: {least} to {most} seconds expected, got {s}")));
+            }
+            lease => lease.map(Duration::from_secs_f64),
+        };
+        let stamp = Stamp { started_ms: self.started_ms, incarnation: self.incarnation };
+        let entry = Entry {
+            id: id.to_owned(),
+            addr: self.addr,
+            zone: self.zone,
+            kind: self.kind,
+            cell: self.cell,
+            state: self.state,
+            weight: self.weight,
+            started_ms: self.started_ms,
+        };
+        Ok((entry, stamp, lease))
+    }
+}
+
+/// # Errors
+/// Says what an id is made of.
+pub fn check_id(id: &str) -> Result<(), Invalid> {
+    let fits =
+        (1..=LONGEST_NAME).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic() && b != b'/');
+    if fits {
+        return Ok(());
+    }
+    Err(Invalid(format!("id: 1 to {LONGEST_NAME} visible ASCII characters without `/` expected")))
+}
+
+/// A field that can't be used: which, and what was expected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Invalid(pub String);
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+/// A change holds at every version from this one on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Changed {
+    pub version: u64,
+    pub id: String,
+}
+
+/// One of the ids in a call that renews many.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Renewal {
+    pub id: String,
+    #[serde(default)]
+    pub started_ms: u64,
+    #[serde(default)]
+    pub incarnation: u64,
+}
+
+/// `POST /registry/renew`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RenewMany {
+    pub renewals: Vec<Renewal>,
+}
+
+/// Its answer. Who is unknown must register; who is stale has been followed by a newer life.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewed {
+    pub version: u64,
+    pub renewed: usize,
+    pub unknown: Vec<String>,
+    pub stale: Vec<String>,
+}
+
+/// `POST /registry/expiry/confirm`: how many the operator has seen to be due and lets go.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Confirm {
+    /// No more than so many expire by this word.
+    pub most: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmed {
+    pub version: u64,
+    pub expired: usize,
+}
+
+/// `POST /registry/replicas`: add this replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Join {
+    pub name: String,
+    pub replica: SocketAddr,
+}
+
+/// One replica as the answering one sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replica {
+    pub id: u64,
+    pub name: String,
+    pub replica: String,
+    pub voter: bool,
+    /// Log entries that it lacks, where the leader answers.
+    pub behind: Option<u64>,
+}
+
+/// `GET /registry/status`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    pub name: String,
+    pub version: u64,
+    pub entries: usize,
+    pub role: String,
+    pub leader: Option<String>,
+    pub term: u64,
+    pub last_log: u64,
+    pub applied: u64,
+    pub snapshot: u64,
+    /// Why it answers no lists, if so.
+    pub not_ready: Option<String>,
+    /// Entries whose expiry is stopped.
+    pub expiry_held: usize,
+    pub replicas: Vec<Replica>,
+}
+
+/// Every refusal's body.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    pub error: String,
+}
