Untie the circle of nine files in the node by a handle that takes what is heard

Need: discovery is to move into a crate of its own, and host, discovery, peers and byhand each named the other. Change: parts below the host tell a handle, main puts host and parts together, constants that the configuration needs stand in it, and the loop over the file of servers out by hand is the host's. No behaviour changes. Measured: all 68 tests of the node pass unchanged; `grep -o '^use crate::[a-z_]*' node/src/*.rs` shows no circle.

--- a/node/src/byhand.rs
+++ b/node/src/byhand.rs
@@ -6,17 +6,10 @@
 use std::io;
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
-use std::time::Duration;
 
 use mallowpaddle::{Seconds, ServerId};
 use serde_json::{json, Value};
-use tokio::time::sleep;
 
-use crate::host::Host;
-
-/// How often the file is looked at: often against the grace in which sends to a server that is out must end.
-const LOOK: Duration = Duration::from_millis(50);
 const FILE: &str = "cache-servers-by-hand.json";
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -145,14 +138,6 @@
     pub back: Option<Seconds>,
 }
 
-/// Follows what the node's other process may be told.
-pub async fn follow(host: Rc<Host>) {
-    loop {
-        sleep(LOOK).await;
-        host.follow_by_hand();
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -8,12 +8,11 @@
 use mallowpaddle::{RosterEntry, Seconds, ServerId, ServerState, Settings};
 use serde_json::Value;
 
-use crate::ops::MOST_CALLERS;
-use crate::sharing::Shared;
-
 /// Descriptors kept for all but clients and upstreams: standard streams, the reactor, signals, the listener,
 /// peers, discovery.
 const RESERVED_SOCKETS: usize = 24;
+/// Callers at the operators' door at once. More come only where some hold connections without calling.
+pub const MOST_CALLERS: usize = 12;
 /// The same for the operators' door: its listener, its callers and one that waits to be let in.
 const DOOR_SOCKETS: usize = MOST_CALLERS + 2;
 /// Clients' requests take a third of all descriptors at the most by the terms; a few more are let in to be told no.
@@ -24,6 +23,13 @@
 /// Fewer can't carry a few clients and a few upstreams.
 const LEAST_SOCKETS: usize = 64;
 
+/// Descriptors that both processes together may use for connections, and how many of them clients may need.
+#[derive(Clone, Copy)]
+pub struct Shared {
+    pub total: usize,
+    pub for_clients: usize,
+}
+
 /// Why a configuration can't be used.
 #[derive(Debug)]
 pub struct ConfigError(String);
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -15,7 +15,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 
 use crate::config::List;
-use crate::host::Host;
+use crate::handle::{Handle, Heard};
 
 /// The first call of a watch is short, as the module counts one that has no answer after some seconds as lost.
 const FIRST_HOLD: Duration = Duration::from_secs(1);
@@ -67,57 +67,59 @@
     /// That of the newest list; `None` before the first one.
     version: Cell<Option<u64>>,
     watch: RefCell<Option<JoinHandle<()>>>,
+    handle: Handle,
 }
 
 impl Discovery {
-    pub fn new(addr: SocketAddr, known: Option<&List>) -> Self {
-        Discovery {
+    pub fn new(addr: SocketAddr, known: Option<&List>, handle: Handle) -> Rc<Self> {
+        Rc::new(Discovery {
             addr: Cell::new(addr),
             version: Cell::new(known.map(|list| list.version)),
             watch: RefCell::default(),
-        }
+            handle,
+        })
     }
 
     /// Discovery is somewhere else from now on: a watch that is on goes on there, with the whole list first.
-    pub fn move_to(&self, addr: SocketAddr, host: &Rc<Host>) {
+    pub fn move_to(self: &Rc<Self>, addr: SocketAddr) {
         if self.addr.replace(addr) == addr {
             return;
         }
         self.version.set(None);
         // One that has broken the module asks for again by itself.
         if self.watch.borrow().as_ref().is_some_and(|watch| !watch.is_finished()) {
-            self.subscribe(host);
+            self.subscribe();
         }
     }
 
-    /// Watches for changes, and tells the host each until the watch breaks. It replaces an older watch.
-    pub fn subscribe(&self, host: &Rc<Host>) {
-        let watching = spawn_local(watch(Rc::clone(host)));
+    /// Watches for changes, and tells each until the watch breaks. It replaces an older watch.
+    pub fn subscribe(self: &Rc<Self>) {
+        let watching = spawn_local(watch(Rc::clone(self)));
         if let Some(old) = self.watch.borrow_mut().replace(watching) {
             old.abort();
         }
     }
 
     /// Asks once for the whole list.
-    pub fn fetch(&self, host: &Rc<Host>) {
-        let host = Rc::clone(host);
+    pub fn fetch(self: &Rc<Self>) {
+        let discovery = Rc::clone(self);
         spawn_local(async move {
-            let answer = host.discovery().call(None).await;
-            host.discovery().hand_over(&host, answer);
+            let answer = discovery.call(None).await;
+            discovery.hand_over(answer);
         });
     }
 
     /// Tells the host what a call brought, and whether the watch can go on.
-    fn hand_over(&self, host: &Rc<Host>, answer: Result<List, CallError>) -> bool {
+    fn hand_over(&self, answer: Result<List, CallError>) -> bool {
         match answer {
             Ok(list) => {
                 self.version.set(Some(list.version));
-                host.on_list(list, false);
+                self.handle.tell(Heard::List(list));
                 true
             }
             Err(what) => {
                 eprintln!("discovery: {what}");
-                host.on_list_failed();
+                self.handle.tell(Heard::ListFailed);
                 false
             }
         }
@@ -165,15 +167,14 @@
     }
 }
 
-async fn watch(host: Rc<Host>) {
-    let discovery = host.discovery();
+async fn watch(discovery: Rc<Discovery>) {
     let mut hold = FIRST_HOLD;
     loop {
         let asked = Instant::now();
         let watched = discovery.version.get().map(|version| (version, hold));
         let answer = discovery.call(watched).await;
         let early = answer.as_ref().is_ok_and(|list| list.servers.is_empty()) && asked.elapsed() < hold / 2;
-        if !discovery.hand_over(&host, answer) {
+        if !discovery.hand_over(answer) {
             return;
         }
         if early {
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -22,13 +22,17 @@
 use crate::config::{Clock, Config, List};
 use crate::discovery::Discovery;
 use crate::figures::{End, Figures, Taken};
-use crate::lifecycle::Lifecycle;
+use crate::handle::Heard;
 use crate::peers::Peers;
 use crate::upstream::{Answered, Answering, Ended, Payload, Reply, Sent, Upstreams};
 
 /// Far longer than the head of a long answer is held back for its begin.
 const BEGIN: Duration = Duration::from_secs(10);
 
+/// How often the file of servers out by hand is looked at: often against the grace in which sends to a server that
+/// is out must end.
+const LOOK: Duration = Duration::from_millis(50);
+
 /// The final answer to a request.
 pub enum Answer {
     Served(Reply),
@@ -69,15 +73,16 @@
     by_hand: Rc<ByHand>,
     /// How long a call back is kept in mind: as long as a cold server warms up.
     ramp: Seconds,
-    discovery: Discovery,
-    peers: Option<Peers>,
+    discovery: Rc<Discovery>,
+    peers: Option<Rc<Peers>>,
     pub figures: Rc<Figures>,
 }
 
 impl Host {
-    pub async fn start(
+    pub fn start(
         config: &Config,
-        lifecycle: &Rc<Lifecycle>,
+        discovery: Rc<Discovery>,
+        peers: Option<Rc<Peers>>,
     ) -> Result<Rc<Self>, Box<dyn std::error::Error>> {
         let classes = config.settings.classes.iter().map(|class| class.name.clone());
         let figures = Rc::new(Figures::new(classes));
@@ -94,29 +99,17 @@
             upstreams,
             by_hand,
             ramp: config.settings.guarantees.ramp,
-            discovery: Discovery::new(config.discovery, config.known.as_ref()),
-            peers: Peers::bind(config).await.map_err(|e| format!("listen for peers: {e}"))?,
+            discovery,
+            peers,
             figures,
         });
-        if host.peers.is_some() {
-            let (host, lifecycle) = (Rc::clone(&host), Rc::clone(lifecycle));
-            spawn_local(async move {
-                if let Some(peers) = &host.peers {
-                    peers.serve(&host, &lifecycle).await;
-                }
-            });
-        }
         // The module starts with its first event, so there is one even where nothing is known.
         let known = config.known.as_ref().map_or(&[][..], |list| &list.servers);
         host.on_list(List { version: 0, full: true, servers: known.to_vec() }, true);
-        host.follow_by_hand();
+        host.look_by_hand();
         Ok(host)
     }
 
-    pub fn discovery(&self) -> &Discovery {
-        &self.discovery
-    }
-
     pub fn upstreams(&self) -> &Upstreams {
         &self.upstreams
     }
@@ -158,8 +151,8 @@
                     peers.tell(&bytes);
                 }
             }
-            Action::Subscribe => self.discovery.subscribe(self),
-            Action::FetchRoster => self.discovery.fetch(self),
+            Action::Subscribe => self.discovery.subscribe(),
+            Action::FetchRoster => self.discovery.fetch(),
             Action::Log(text) => eprintln!("{text}"),
         }
     }
@@ -183,7 +176,7 @@
     // ---- Servers --------------------------------------------------------------------------------------
 
     /// A list has come. Addresses and drains count at once, before the module acts on them.
-    pub fn on_list(self: &Rc<Self>, list: List, cached: bool) {
+    fn on_list(self: &Rc<Self>, list: List, cached: bool) {
         self.upstreams.update(&list);
         let entries = list.servers.into_iter().map(|(entry, _)| entry).collect();
         self.tell(Event::Roster(match (list.full, cached) {
@@ -193,8 +186,13 @@
         }));
     }
 
-    pub fn on_list_failed(self: &Rc<Self>) {
-        self.tell(Event::Roster(RosterNews::Failed));
+    /// Takes what the parts below have heard.
+    pub fn hear(self: &Rc<Self>, heard: Heard) {
+        match heard {
+            Heard::List(list) => self.on_list(list, false),
+            Heard::ListFailed => self.tell(Event::Roster(RosterNews::Failed)),
+            Heard::Peer { from, bytes } => self.tell(Event::Message { from, bytes }),
+        }
     }
 
     /// Takes a cache server out or calls it back. `None` if nobody has that name.
@@ -208,10 +206,18 @@
     }
 
     /// Another process of this node may have been told.
-    pub fn follow_by_hand(self: &Rc<Self>) {
+    fn look_by_hand(self: &Rc<Self>) {
         self.tell_by_hand(self.by_hand.follow());
     }
 
+    /// Follows what the node's other process may be told.
+    pub async fn follow_by_hand(self: Rc<Self>) {
+        loop {
+            sleep(LOOK).await;
+            self.look_by_hand();
+        }
+    }
+
     /// The host sends nothing to a server that is out from the same moment on.
     fn tell_by_hand(self: &Rc<Self>, changes: Vec<Change>) {
         for Change { server, back } in changes {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,6 +8,7 @@
 mod config;
 mod discovery;
 mod figures;
+mod handle;
 mod host;
 mod inherit;
 mod lifecycle;
@@ -25,9 +26,13 @@
 use tokio::task::{spawn_local, LocalSet};
 
 use config::Config;
+use discovery::Discovery;
+use figures::Figures;
+use handle::Handle;
 use host::Host;
 use lifecycle::Lifecycle;
 use ops::Door;
+use peers::Peers;
 use server::Clients;
 
 fn main() -> ExitCode {
@@ -67,7 +72,16 @@
     }
     println!("{} listens on {}", config.name, listener.local_addr()?);
     let lifecycle = Rc::new(Lifecycle::new());
-    let host = Host::start(&config, &lifecycle).await?;
+    let handle = Handle::default();
+    let discovery = Discovery::new(config.discovery, config.known.as_ref(), handle.clone());
+    let peers = Peers::bind(&config).await.map_err(|e| format!("listen for peers: {e}"))?.map(Rc::new);
+    let host = Host::start(&config, Rc::clone(&discovery), peers.clone())?;
+    let ear = Rc::clone(&host);
+    handle.lead_to(move |heard| ear.hear(heard));
+    if let Some(peers) = peers {
+        let lifecycle = Rc::clone(&lifecycle);
+        spawn_local(async move { peers.serve(&handle, &lifecycle).await });
+    }
     let clients = Clients::new(config.client_sockets);
     if let Some(folder) = config.folder.as_ref().filter(|_| config.socket.is_some()) {
         let (host, clients) = (Rc::clone(&host), Rc::clone(&clients));
@@ -78,9 +92,9 @@
     if let Some(door) = door {
         let calls = Door { host: Rc::clone(&host), lifecycle: Rc::clone(&lifecycle) };
         spawn_local(ops::serve(door, calls));
-        spawn_local(byhand::follow(Rc::clone(&host)));
+        spawn_local(Rc::clone(&host).follow_by_hand());
     }
-    spawn_local(follow_discovery(hangup, Rc::clone(&host)));
+    spawn_local(follow_discovery(hangup, discovery, Rc::clone(&host.figures)));
     let serving = server::serve(listener, Rc::clone(&host), clients, &config, Rc::clone(&lifecycle));
     let stopped = async {
         tokio::select! {
@@ -95,15 +109,15 @@
 
 /// At each hang-up the configuration may have been replaced, and discovery moved. A file that makes no sense
 /// changes nothing: a node in service must not end by it.
-async fn follow_discovery(mut hangup: Signal, host: Rc<Host>) {
+async fn follow_discovery(mut hangup: Signal, discovery: Rc<Discovery>, figures: Rc<Figures>) {
     while hangup.recv().await.is_some() {
         match config::replaced_discovery() {
             Ok(addr) => {
-                figures::add_one(&host.figures.reconfig_ok);
-                host.discovery().move_to(addr, &host);
+                figures::add_one(&figures.reconfig_ok);
+                discovery.move_to(addr);
             }
             Err(what) => {
-                figures::add_one(&host.figures.reconfig_failed);
+                figures::add_one(&figures.reconfig_failed);
                 eprintln!("tackstage: {}", what.to_string().replace('\n', " "));
             }
         }
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -19,11 +19,10 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, timeout};
 
+use crate::config::MOST_CALLERS;
 use crate::host::Host;
 use crate::lifecycle::{Lifecycle, State};
 
-/// Callers at once. More come only where some hold connections without calling.
-pub const MOST_CALLERS: usize = 12;
 /// A call comes whole within this time of its connection; only then may its caller have to give way.
 const CALL_TIME: Duration = Duration::from_millis(25);
 /// Callers that never finish are not kept for longer.
--- a/node/src/peers.rs
+++ b/node/src/peers.rs
@@ -6,12 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mallowpaddle::Event;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::config::Config;
-use crate::host::Host;
+use crate::handle::{Handle, Heard};
 use crate::lifecycle::Lifecycle;
 
 /// Longest message that nodes may send.
@@ -64,16 +63,16 @@
     }
 
     /// Hands on what other nodes send, until the address is another process's.
-    pub async fn serve(&self, host: &Rc<Host>, lifecycle: &Lifecycle) {
+    pub async fn serve(&self, handle: &Handle, lifecycle: &Lifecycle) {
         tokio::select! {
-            () = self.listen(host) => {}
+            () = self.listen(handle) => {}
             () = lifecycle.stopped(), if self.handed_on => {}
         }
         self.socket.take();
     }
 
     /// Drops what comes from elsewhere or is too long.
-    async fn listen(&self, host: &Rc<Host>) {
+    async fn listen(&self, handle: &Handle) {
         let socket = self.bound().await;
         let mut buffer = [0; LONGEST + 1];
         loop {
@@ -88,7 +87,7 @@
             }
             let Some(from) = self.peers.iter().position(|peer| *peer == sender) else { continue };
             if length <= LONGEST {
-                host.tell(Event::Message { from: from as u32, bytes: buffer[..length].to_vec() });
+                handle.tell(Heard::Peer { from: from as u32, bytes: buffer[..length].to_vec() });
             }
         }
     }
--- a/node/src/sharing.rs
+++ b/node/src/sharing.rs
@@ -11,6 +11,7 @@
 use mallowpaddle::Event;
 use tokio::time::sleep;
 
+use crate::config::Shared;
 use crate::host::Host;
 use crate::server::Clients;
 
@@ -89,13 +90,6 @@
     Open { clients: total.saturating_sub(others), upstreams: half }
 }
 
-/// Descriptors that both processes together may use for connections, and how many of them clients may need.
-#[derive(Clone, Copy)]
-pub struct Shared {
-    pub total: usize,
-    pub for_clients: usize,
-}
-
 /// Shares the node's limits with another process of it whenever there is one.
 pub async fn share(folder: PathBuf, host: Rc<Host>, clients: Rc<Clients>, config: Shared) {
     let Shared { total, for_clients } = config;
