Follow the list by the client crate, at discovery and at what discovery_also names

Need: a watch that fell silent was noticed 3.5 s after its wait; a service that came back with lower versions was never followed again. Change: the node's discovery is the client's pure follower on sockets. SIGHUP moves all endpoints.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -7,6 +7,7 @@
 
 use mallowpaddle::{RosterEntry, Seconds, ServerId, ServerState, Settings};
 use serde_json::Value;
+use shaletrail_wire::State;
 
 /// Descriptors kept for all but clients and upstreams: standard streams, the reactor, signals, the listener,
 /// peers, discovery.
@@ -50,7 +51,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// Where the list is: discovery, and others that hold the same one.
+    pub discovery: Vec<SocketAddr>,
     pub seed: u64,
     /// Connections that upstreams may hold, and clients.
     pub upstream_sockets: usize,
@@ -103,13 +105,16 @@
         let upstream_sockets = (sockets - reserved) / 2;
         let known = match &json["known"] {
             Value::Null => None,
-            value => Some(List::read(value).ok_or_else(|| wrong("known: a list of servers expected"))?),
+            value => {
+                let list: Result<shaletrail_wire::List, _> = serde_json::from_value(value.clone());
+                Some(list.map_err(|e| wrong(format!("known: a list of servers expected: {e}")))?.into())
+            }
         };
         let seed = json["seed"].as_str().unwrap_or("0");
         Ok(Config {
             name: told("name", "LB_NAME")?,
             listen: address("listen", &told("listen", "LB_LISTEN")?)?,
-            discovery: address("discovery", &told("discovery", "LB_DISCOVERY")?)?,
+            discovery: endpoints(&json, &told("discovery", "LB_DISCOVERY")?)?,
             seed: u64::from_str_radix(seed, 16).map_err(|e| wrong(format!("seed: {e}")))?,
             upstream_sockets,
             client_sockets: sockets - reserved - upstream_sockets,
@@ -140,9 +145,24 @@
 }
 
 /// Where discovery is by a file that has been replaced; the environment only knows where it was at the start.
-pub fn replaced_discovery() -> Result<SocketAddr, ConfigError> {
+pub fn replaced_discovery() -> Result<Vec<SocketAddr>, ConfigError> {
     let json = file()?;
-    address("discovery", json["discovery"].as_str().unwrap_or_default())
+    endpoints(&json, json["discovery"].as_str().unwrap_or_default())
+}
+
+/// Where the list is followed: at `discovery`, and at `discovery_also` where the file has that.
+fn endpoints(json: &Value, discovery: &str) -> Result<Vec<SocketAddr>, ConfigError> {
+    let mut endpoints = vec![address("discovery", discovery)?];
+    match &json["discovery_also"] {
+        Value::Null => {}
+        Value::Array(also) => {
+            for addr in also {
+                endpoints.push(address("discovery_also", addr.as_str().unwrap_or_default())?);
+            }
+        }
+        other => return Err(wrong(format!("discovery_also: a list of addresses expected, got {other}"))),
+    }
+    Ok(endpoints)
 }
 
 fn address(name: &str, text: &str) -> Result<SocketAddr, ConfigError> {
@@ -180,33 +200,31 @@
     pub servers: Vec<(RosterEntry, SocketAddr)>,
 }
 
-impl List {
-    /// `None` if it can't be read whole: half of a list taken for the whole would end servers that run.
-    pub fn read(json: &Value) -> Option<List> {
-        Some(List {
-            version: json["version"].as_u64()?,
-            full: json["full"].as_bool()?,
-            servers: json["servers"].as_array()?.iter().map(entry).collect::<Option<_>>()?,
-        })
+impl From<shaletrail_wire::List> for List {
+    fn from(list: shaletrail_wire::List) -> Self {
+        List {
+            version: list.version,
+            full: list.full,
+            servers: list.servers.into_iter().map(entry).collect(),
+        }
     }
 }
 
-fn entry(json: &Value) -> Option<(RosterEntry, SocketAddr)> {
-    let text = |name: &str| json[name].as_str();
-    // Unix time on the clock that `Clock` starts from; 0 is long ago.
-    let started = json["started_ms"].as_f64().filter(|&ms| ms > 0.0).map(|ms| ms / 1000.0);
-    let entry = RosterEntry {
-        server: ServerId(text("id")?.into()),
-        state: match text("state") {
-            Some("active") => ServerState::Ready,
-            Some("left") => ServerState::Gone,
-            _ => ServerState::Draining,
+fn entry(entry: shaletrail_wire::Entry) -> (RosterEntry, SocketAddr) {
+    let addr = entry.addr;
+    let roster = RosterEntry {
+        server: ServerId(entry.id.into()),
+        state: match entry.state {
+            State::Active => ServerState::Ready,
+            State::Left => ServerState::Gone,
+            State::Leaving => ServerState::Draining,
         },
-        zone: text("zone").unwrap_or_default().to_owned(),
-        weight: json["weight"].as_f64().unwrap_or(1.0),
-        kind: text("kind").unwrap_or_default().to_owned(),
-        started,
-        cell: json["cell"].as_u64().unwrap_or(0),
+        zone: entry.zone,
+        weight: entry.weight,
+        kind: entry.kind,
+        // Unix time on the clock that `Clock` starts from; 0 is long ago.
+        started: (entry.started_ms > 0).then_some(entry.started_ms as f64 / 1000.0),
+        cell: entry.cell,
     };
-    Some((entry, text("addr")?.parse().ok()?))
+    (roster, addr)
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -73,7 +73,9 @@
     println!("{} listens on {}", config.name, listener.local_addr()?);
     let lifecycle = Rc::new(Lifecycle::new());
     let handle = Handle::default();
-    let discovery = Discovery::new(config.discovery, config.known.as_ref(), handle.clone());
+    let discovery = Discovery::new(config.discovery.clone(), handle.clone());
+    let known = config.known.as_ref().map(|list| list.version);
+    spawn_local(Rc::clone(&discovery).follow(known, config.seed));
     let peers = Peers::bind(&config).await.map_err(|e| format!("listen for peers: {e}"))?.map(Rc::new);
     let host = Host::start(&config, Rc::clone(&discovery), peers.clone())?;
     let ear = Rc::clone(&host);
@@ -112,9 +114,9 @@
 async fn follow_discovery(mut hangup: Signal, discovery: Rc<Discovery>, figures: Rc<Figures>) {
     while hangup.recv().await.is_some() {
         match config::replaced_discovery() {
-            Ok(addr) => {
+            Ok(endpoints) => {
                 figures::add_one(&figures.reconfig_ok);
-                discovery.move_to(addr);
+                discovery.move_to(endpoints);
             }
             Err(what) => {
                 figures::add_one(&figures.reconfig_failed);
