--- /dev/null
+++ b/lab/src/observer.rs
@@ -0,0 +1,170 @@
+//! Clients of the list service in threads of their own: some follow the list, some change it.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use shaletrail_client::changes::{entry_path, ChangeError, Changes};
+use shaletrail_client::driver::{Following, News};
+use shaletrail_client::follow::Retry;
+use shaletrail_wire::{Changed, Entry, Register, State};
+
+use crate::checker::{Acknowledged, Seen};
+use crate::process::wait_for;
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime")
+}
+
+/// Follows the list, and keeps all that it is told.
+pub struct Observer {
+    seen: Arc<Mutex<Seen>>,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Observer {
+    pub fn start(who: &str, endpoints: Vec<SocketAddr>, seed: u64) -> Observer {
+        let seen = Arc::new(Mutex::new(Seen { who: who.into(), lists: Vec::new() }));
+        let stop = Arc::new(AtomicBool::new(false));
+        let (kept, stopped) = (Arc::clone(&seen), Arc::clone(&stop));
+        let thread = thread::spawn(move || {
+            runtime().block_on(async {
+                let mut following = Following::new(endpoints, None, Retry::Own, seed);
+                following.start();
+                while !stopped.load(Ordering::Relaxed) {
+                    let news = tokio::time::timeout(Duration::from_millis(50), following.next()).await;
+                    if let Ok(News::List(list)) = news {
+                        kept.lock().unwrap_or_else(PoisonError::into_inner).lists.push(list);
+                    }
+                }
+            });
+        });
+        Observer { seen, stop, thread: Some(thread) }
+    }
+
+    /// The newest version it was told.
+    pub fn version(&self) -> u64 {
+        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.lists.last().map_or(0, |list| list.version)
+    }
+
+    /// Waits until it has been told this version, and ends it.
+    pub fn end_at(mut self, version: u64) -> Seen {
+        wait_for("an observer sees the last version", || (self.version() >= version).then_some(()));
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.clone()
+    }
+}
+
+impl Drop for Observer {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Registers one id again and again with a growing number, one change after the other.
+pub struct Writer {
+    stop: Arc<AtomicBool>,
+    acknowledged: Arc<Mutex<Vec<(Instant, Acknowledged)>>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Writer {
+    pub fn start(id: &str, endpoints: Vec<SocketAddr>, pause: Duration) -> Writer {
+        let stop = Arc::new(AtomicBool::new(false));
+        let acknowledged = Arc::new(Mutex::new(Vec::new()));
+        let (stopped, acks, id) = (Arc::clone(&stop), Arc::clone(&acknowledged), id.to_owned());
+        let thread = thread::spawn(move || {
+            runtime().block_on(async {
+                let mut changes = Changes::new(endpoints);
+                for number in 1.. {
+                    if stopped.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    if let Ok(changed) = register(&mut changes, &id, number, Duration::from_secs(2)).await {
+                        let ack = Acknowledged { id: id.clone(), number, version: changed.version };
+                        acks.lock().unwrap_or_else(PoisonError::into_inner).push((Instant::now(), ack));
+                    }
+                    tokio::time::sleep(pause).await;
+                }
+            });
+        });
+        Writer { stop, acknowledged, thread: Some(thread) }
+    }
+
+    /// How many changes were acknowledged since a time.
+    pub fn since(&self, at: Instant) -> usize {
+        let acks = self.acknowledged.lock().unwrap_or_else(PoisonError::into_inner);
+        acks.iter().filter(|(when, _)| *when > at).count()
+    }
+
+    pub fn end(mut self) -> Vec<Acknowledged> {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+        let acks = self.acknowledged.lock().unwrap_or_else(PoisonError::into_inner);
+        acks.iter().map(|(_, ack)| ack.clone()).collect()
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// An entry whose weight is a number; a higher one is a newer life, so that a late repeat changes nothing.
+pub fn numbered(id: &str, number: u64) -> Register {
+    let entry = Entry {
+        id: id.into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "a".into(),
+        kind: "box".into(),
+        cell: 0,
+        state: State::Active,
+        weight: number as f64,
+        started_ms: 0,
+    };
+    Register { incarnation: number, ..Register::new(&entry, None) }
+}
+
+async fn register(
+    changes: &mut Changes,
+    id: &str,
+    number: u64,
+    time: Duration,
+) -> Result<Changed, ChangeError> {
+    changes.put(Method::PUT, &entry_path(id, ""), &numbered(id, number), time).await
+}
+
+/// One change from outside of any runtime.
+///
+/// # Errors
+/// As the client has it.
+pub fn put(
+    endpoints: &[SocketAddr],
+    method: Method,
+    path: &str,
+    body: &serde_json::Value,
+) -> Result<Changed, ChangeError> {
+    let mut changes = Changes::new(endpoints.to_vec());
+    runtime().block_on(changes.put(method, path, body, Duration::from_secs(30)))
+}
+
+/// One call that changes nothing, as JSON.
+///
+/// # Errors
+/// As the client has it.
+pub fn get(endpoint: SocketAddr, path: &str) -> Result<serde_json::Value, ChangeError> {
+    let body = runtime().block_on(Changes::new(vec![endpoint]).get(path, 64 << 20))?;
+    Ok(serde_json::from_slice(&body)?)
+}
--- /dev/null
+++ b/lab/src/process.rs
@@ -0,0 +1,135 @@
+//! A program as a child: started, signalled, and ended with the harness.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longest wait for anything; a busy machine must not change a verdict.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Asks again and again until there is a result.
+///
+/// # Panics
+/// When there is none in [`PATIENCE`].
+pub fn wait_for<T>(what: &str, mut ask: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(result) = ask() {
+            return result;
+        }
+        assert!(Instant::now() < end, "{what}: not in time");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A running program. Its standard error goes to a file.
+pub struct Process {
+    child: Child,
+    lines: Receiver<String>,
+    log: PathBuf,
+}
+
+impl Process {
+    /// # Panics
+    /// When the program can't be started.
+    pub fn start(command: &mut Command, log: &Path) -> Process {
+        let errors = File::options().create(true).append(true).open(log).expect("a log file");
+        let mut child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(errors)
+            .spawn()
+            .unwrap_or_else(|e| panic!("{:?}: {e}", command.get_program()));
+        let (said, lines) = channel();
+        if let Some(out) = child.stdout.take() {
+            thread::spawn(move || {
+                for line in BufReader::new(out).lines().map_while(Result::ok) {
+                    if said.send(line).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+        Process { child, lines, log: log.to_owned() }
+    }
+
+    /// Waits for a line of its standard output that begins so.
+    ///
+    /// # Panics
+    /// When it does not come.
+    pub fn says(&self, begin: &str) -> String {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            match self.lines.recv_timeout(left) {
+                Ok(line) if line.starts_with(begin) => return line,
+                Ok(_) => {}
+                Err(_) => panic!("no line `{begin}`; its log:\n{}", self.log()),
+            }
+        }
+    }
+
+    /// What it has written to standard error, with that of processes before it that had the same file.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends it a signal by its short name: `STOP`, `CONT`, `TERM`, `HUP`.
+    ///
+    /// # Panics
+    /// When there is no `kill` program.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let _ = Command::new("kill").args([&format!("-{name}"), &id]).status().expect("a kill program");
+    }
+
+    /// SIGKILL, and waits for the end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for it to end by itself.
+    pub fn exit(&mut self) -> ExitStatus {
+        wait_for("the process ends", || self.child.try_wait().ok().flatten())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A folder of its own, which goes with its owner unless the test fails.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    /// # Panics
+    /// When the system has no room for one.
+    pub fn new(name: &str) -> Folder {
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let name = format!("shaletrail-{name}-{}-{}", std::process::id(), now.as_nanos());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).expect("a temporary folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            println!("left for a look: {}", self.0.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+}
