--- a/client/src/changes.rs
+++ b/client/src/changes.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::{Method, StatusCode};
+use percent_encoding::{utf8_percent_encode, AsciiSet, CONTROLS};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use shaletrail_wire::{Refusal, INSTANCES, LONGEST_CALL};
@@ -125,8 +126,12 @@
     }
 }
 
+/// What stands in ids but not in a path.
+const IN_PATH: &AsciiSet =
+    &CONTROLS.add(b' ').add(b'"').add(b'#').add(b'%').add(b'/').add(b'<').add(b'>').add(b'?').add(b'`');
+
 /// The path of one entry's call: none, `renew` or `leaving`.
 pub fn entry_path(id: &str, call: &str) -> String {
     let slash = if call.is_empty() { "" } else { "/" };
-    format!("{INSTANCES}/{id}{slash}{call}")
+    format!("{INSTANCES}/{}{slash}{call}", utf8_percent_encode(id, IN_PATH))
 }
