Check the pure cores on random histories, and never believe late replicas for a service gone back

The last found a fault at once: where the leader died having told a version that its followers would only learn by the next heartbeat, all of them looked gone back and a lower list was believed. Now several endpoints must all have been behind for 10 s, longer than a replica that answers can be, and one that is late is given 1 s to catch up.

--- a/client/src/follow.rs
+++ b/client/src/follow.rs
@@ -18,6 +18,8 @@
 const QUICK_SILENCE: Duration = Duration::from_millis(1200);
 /// A service that works through its calls in turn may still answer; beyond this it does not.
 const PATIENCE: Duration = Duration::from_millis(3500);
+/// No replica that answers is behind for so long.
+const LATEST: Duration = Duration::from_secs(10);
 /// Pause before the next call when one has ended early and empty. A watch lasts while gaps stay under 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Wait after all endpoints have failed: it doubles up to the longest, and half of it is left to chance, so that
@@ -96,6 +98,8 @@
     /// Endpoints that failed in a row, and those of them that are behind what was told.
     failed: usize,
     behind: usize,
+    /// Since when each that answered was behind.
+    behind_since: Option<Time>,
     /// Rounds of all endpoints that failed in a row, and calls that stayed silent.
     rounds: u32,
     silences: u32,
@@ -120,6 +124,7 @@
             doubt: false,
             failed: 0,
             behind: 0,
+            behind_since: None,
             rounds: 0,
             silences: 0,
             first: true,
@@ -217,10 +222,11 @@
             }
             return;
         };
-        if !self.counts(ended.ask, told) {
+        if !self.counts(ended.ask, told, now) {
             // Only the newest call says where to go on.
             if main.is_some() {
                 self.behind += 1;
+                self.behind_since.get_or_insert(now);
                 self.endpoint_failed(now, out);
             }
             return;
@@ -231,6 +237,7 @@
         let nothing_new = told.empty && self.held == Some(told.version);
         self.held = Some(told.version);
         (self.doubt, self.failed, self.behind, self.rounds, self.silences) = (false, 0, 0, 0, 0);
+        self.behind_since = None;
         self.first = false;
         if nothing_new && now.saturating_sub(ended.began) < ended.ask.hold() / 2 {
             self.wake = Some(now + PAUSE);
@@ -240,19 +247,22 @@
     }
 
     /// Whether an answer is news, or at least no older than what is known.
-    fn counts(&self, ask: Ask, told: Told) -> bool {
+    fn counts(&self, ask: Ask, told: Told, now: Time) -> bool {
         let Some(held) = self.held else { return true };
         if told.full {
             // A service that has gone back: believed where there is nobody else to ask.
-            return told.version >= held || self.all_behind();
+            return told.version >= held || self.went_back(now);
         }
         let Ask::Changes { from, .. } = ask else { return false };
         // Changes since just before the version held hold at least that one's, where the service knows it.
         told.version >= held && !(from < held && told.empty)
     }
 
-    fn all_behind(&self) -> bool {
-        self.endpoints == 1 || (self.behind > 0 && self.failed >= self.endpoints)
+    /// The service itself has gone back, and no endpoint is only late: there is one, or all have been behind for
+    /// longer than a replica can be.
+    fn went_back(&self, now: Time) -> bool {
+        let long = self.behind_since.is_some_and(|since| now.saturating_sub(since) >= LATEST);
+        self.failed >= self.endpoints && self.behind > 0 && (self.endpoints == 1 || long)
     }
 
     fn endpoint_failed(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -261,7 +271,7 @@
         if self.failed < self.endpoints {
             return self.call(now, out);
         }
-        if self.behind > 0 && self.failed < 2 * self.endpoints {
+        if self.went_back(now) && self.failed < 2 * self.endpoints {
             // Nobody knows what was told before: then the whole list is asked for, once at each.
             return self.call(now, out);
         }
@@ -281,14 +291,22 @@
 
     fn call(&mut self, now: Time, out: &mut Vec<Action>) {
         let ask = match self.held {
-            Some(_) if self.behind > 0 && self.failed >= self.endpoints => Ask::Whole,
+            Some(_) if self.went_back(now) => Ask::Whole,
             None => Ask::Whole,
             // One entry more than was told, and the answer comes at once, if the service knows the version at all.
-            Some(held) if self.doubt && held > 0 => Ask::Changes { from: held - 1, hold: Duration::ZERO },
+            Some(held) if self.doubt && held > 0 => {
+                // One of several may be late by a heartbeat, and waits.
+                let hold = if self.endpoints == 1 { Duration::ZERO } else { FIRST_HOLD };
+                Ask::Changes { from: held - 1, hold }
+            }
             Some(from) => Ask::Changes { from, hold: if self.first { FIRST_HOLD } else { HOLD } },
         };
         let silence = match ask.hold() {
-            Duration::ZERO if self.silences > 0 || self.endpoints > 1 => {
+            hold if self.endpoints > 1 && hold <= FIRST_HOLD => {
+                // Another can be asked.
+                hold + QUICK_SILENCE.mul_f64(0.9 + 0.1 * self.random())
+            }
+            Duration::ZERO if self.silences > 0 => {
                 let grown = QUICK_SILENCE.mul_f64(1.5_f64.powi(self.silences.min(4) as i32));
                 // Never in step with others that were silenced together.
                 grown.min(PATIENCE).mul_f64(0.9 + 0.1 * self.random())
--- /dev/null
+++ b/client/tests/follow.rs
@@ -0,0 +1,190 @@
+//! The pure follower against services that fail in every way its events can tell.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use shaletrail_client::follow::{Action, Ask, CallId, Follower, Retry, Told};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// The call that an action puts.
+fn call(actions: &mut Vec<Action>) -> Option<(CallId, usize, Ask)> {
+    let put = actions.iter().find_map(|action| match action {
+        Action::Call { call, endpoint, ask } => Some((*call, *endpoint, *ask)),
+        _ => None,
+    });
+    actions.clear();
+    put
+}
+
+fn told(version: u64, full: bool, empty: bool) -> Option<Told> {
+    Some(Told { version, full, empty })
+}
+
+fn changes(from: u64, hold: u64) -> Ask {
+    Ask::Changes { from, hold: ms(hold) }
+}
+
+/// Follows up to version 51, and then the watch breaks.
+fn broken_at_51(out: &mut Vec<Action>) -> Follower {
+    let mut follower = Follower::new(1, Some(50), Retry::OnStart, 7);
+    follower.start(ms(0), out);
+    let (first, _, ask) = call(out).expect("a call");
+    assert_eq!(ask, changes(50, 1000));
+    follower.ended(first, told(51, false, false), ms(10), out);
+    let (watch, _, ask) = call(out).expect("a watch");
+    assert_eq!(ask, changes(51, 20_000));
+    follower.ended(watch, None, ms(500), out);
+    assert_eq!(*out, [Action::Failed]);
+    out.clear();
+    follower.start(ms(700), out);
+    follower
+}
+
+#[test]
+fn a_service_that_came_back_with_lower_versions_is_asked_for_its_list_once() {
+    // One says where it is, one echoes what it was asked from.
+    for answered in [2, 50] {
+        let mut out = Vec::new();
+        let mut follower = broken_at_51(&mut out);
+        let (doubt, _, ask) = call(&mut out).expect("a call");
+        assert_eq!(ask, changes(50, 0));
+        follower.ended(doubt, told(answered, false, true), ms(701), &mut out);
+        let (whole, _, ask) = call(&mut out).expect("a call");
+        assert_eq!(ask, Ask::Whole);
+        follower.ended(whole, told(2, true, false), ms(702), &mut out);
+        assert_eq!(out[0], Action::Tell { call: whole });
+        let (watch, _, ask) = call(&mut out).expect("a watch");
+        assert_eq!(ask, changes(2, 20_000));
+        follower.ended(watch, told(3, false, false), ms(900), &mut out);
+        assert_eq!(call(&mut out).expect("a watch").2, changes(3, 20_000));
+    }
+}
+
+#[test]
+fn a_service_that_came_back_as_it_was_costs_one_entry_and_no_whole_list() {
+    let mut out = Vec::new();
+    let mut follower = broken_at_51(&mut out);
+    let (doubt, ..) = call(&mut out).expect("a call");
+    follower.ended(doubt, told(51, false, false), ms(701), &mut out);
+    assert_eq!(call(&mut out).expect("a watch").2, changes(51, 20_000));
+}
+
+#[test]
+fn a_silent_watch_is_noticed_within_2_s_of_the_end_of_its_wait() {
+    for endpoints in [1, 3] {
+        let mut out = Vec::new();
+        let mut follower = Follower::new(endpoints, Some(5), Retry::Own, 7);
+        follower.start(ms(0), &mut out);
+        let (first, at, _) = call(&mut out).expect("a call");
+        let wake = follower.wake().expect("a time");
+        assert!(wake <= ms(3000), "{wake:?}");
+        follower.tick(wake, &mut out);
+        let (second, next, ask) = call(&mut out).expect("another call");
+        assert_eq!(ask, changes(4, if endpoints == 1 { 0 } else { 1000 }));
+        assert_eq!(next != at, endpoints > 1);
+        // The first may still be the one that is answered.
+        follower.ended(first, told(6, false, false), wake + ms(1), &mut out);
+        assert!(out.contains(&Action::Tell { call: first }) && out.contains(&Action::Drop { call: second }));
+    }
+}
+
+#[test]
+fn an_endpoint_that_is_dead_or_behind_is_left_at_once() {
+    let mut out = Vec::new();
+    let mut follower = Follower::new(3, Some(9), Retry::Own, 7);
+    follower.start(ms(0), &mut out);
+    let (dead, first, _) = call(&mut out).expect("a call");
+    follower.ended(dead, None, ms(1), &mut out);
+    let (behind, second, _) = call(&mut out).expect("the next at once");
+    follower.ended(behind, told(8, false, true), ms(2), &mut out);
+    let (good, third, ask) = call(&mut out).expect("the next at once");
+    assert!(first != second && second != third && third != first);
+    assert_eq!(ask, changes(8, 1000));
+    follower.ended(good, told(9, false, false), ms(3), &mut out);
+    assert!(out.contains(&Action::Tell { call: good }));
+}
+
+/// 300 that lose their watch at once: when does each come back?
+#[test]
+fn many_that_lost_all_endpoints_come_back_spread() {
+    let mut back: Vec<u128> = (0..300)
+        .map(|seed| {
+            let mut out = Vec::new();
+            let mut follower = Follower::new(3, Some(9), Retry::Own, seed);
+            follower.start(ms(0), &mut out);
+            while let Some((lost, ..)) = call(&mut out) {
+                follower.ended(lost, None, ms(1), &mut out);
+            }
+            follower.wake().expect("a time").as_millis()
+        })
+        .collect();
+    back.sort_unstable();
+    let most = (0..300).map(|n| back.iter().filter(|at| (back[n]..back[n] + 20).contains(at)).count()).max();
+    assert!(most < Some(45), "{most:?} within 20 ms");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Endpoints that all know the list, of which some lag, die, rot or say nothing: no news goes back, calls stay
+    /// bounded, and once all are well the newest version is told.
+    #[test]
+    fn news_never_goes_back_and_the_newest_comes_in_the_end(
+        endpoints in 1..4usize,
+        seed in any::<u64>(),
+        fates in prop::collection::vec((0..5u8, 0..3u64, 0..2500u64), 1..60),
+    ) {
+        let mut out = Vec::new();
+        let mut follower = Follower::new(endpoints, None, Retry::Own, seed);
+        let (mut now, mut version, mut last) = (ms(0), 5, 0);
+        let mut open: Vec<(CallId, Ask)> = Vec::new();
+        follower.start(now, &mut out);
+        let mut late_for = 0;
+        let mut fates = fates.into_iter();
+        for _ in 0..400 {
+            for action in out.drain(..) {
+                match action {
+                    Action::Call { call, ask, .. } => open.push((call, ask)),
+                    Action::Drop { call } => open.retain(|(out, _)| *out != call),
+                    Action::Tell { .. } | Action::Failed => {}
+                }
+            }
+            prop_assert!(open.len() <= 2, "{open:?}");
+            let (fate, lag, wait) = fates.next().unwrap_or((0, 0, 50));
+            // No replica that answers is behind for longer than this.
+            late_for = if lag > 0 { late_for + wait } else { 0 };
+            let lag = if late_for > 8000 { 0 } else { lag };
+            let healthy = fate == 0;
+            let Some((call, ask)) = open.last().copied().filter(|_| fate != 4) else {
+                // Nothing is answered until the follower's own time comes.
+                let Some(wake) = follower.wake() else { break };
+                now = now.max(wake);
+                follower.tick(now, &mut out);
+                continue;
+            };
+            now += ms(wait);
+            version += u64::from(fate == 1);
+            open.retain(|(out, _)| *out != call);
+            // A single one that answers less than it told has gone back; that is not played here.
+            let lag = if healthy || endpoints == 1 { 0 } else { lag.min(version) };
+            let knows = version - lag;
+            let answer = match (fate, ask) {
+                (2, _) => None,
+                // Ours says 503 rather than answer older.
+                (_, Ask::Changes { from, .. }) if from > knows => None,
+                (_, Ask::Changes { from, .. }) => told(knows, false, from == knows),
+                (_, Ask::Whole) => told(knows, true, false),
+            };
+            follower.ended(call, answer, now, &mut out);
+            if out.contains(&Action::Tell { call }) {
+                let knows = answer.expect("an answer").version;
+                prop_assert!(knows >= last, "{knows} after {last}");
+                last = knows;
+            }
+        }
+        prop_assert_eq!(last, version);
+    }
+}
