Ask for freshness before each list, give each address its part of descriptors, let expiry not stand in the way

Found by a hostile reading of the own design, not in service: a replica that was stopped and went on could answer one list from before its pause; nodes that hold watches could take all descriptors from the replicas; a slow proposal to expire held up the look at freshness; removing a replica twice ended in an error.

--- a/cli/src/registry.rs
+++ b/cli/src/registry.rs
@@ -129,8 +129,11 @@
         Some(Verb::Join { start: with, registry }) => start(with, registry).await,
         Some(Verb::Remove { name, service }) => {
             let path = format!("/registry/replicas/{name}");
-            put::<Value>(service, hyper::Method::DELETE, &path, &json!({})).await?;
-            println!("removed {name}");
+            let done: Value = put(service, hyper::Method::DELETE, &path, &json!({})).await?;
+            match done["removed"].as_bool() {
+                Some(true) => println!("removed {name}"),
+                _ => println!("no replica has the name {name}"),
+            }
             Ok(())
         }
         Some(Verb::Status { service, json }) => status(service, json).await,
--- a/registry/src/changing.rs
+++ b/registry/src/changing.rs
@@ -365,7 +365,8 @@
     let status = replica.status();
     let others = status.replicas.iter().filter(|one| one.voter && one.name != name).count();
     if status.replicas.iter().all(|one| one.name != name) {
-        return Ok(refusal(StatusCode::NOT_FOUND, format!("no replica has the name {name}")));
+        // So it may be put twice.
+        return Ok(json(StatusCode::OK, &json!({"removed": false})));
     }
     if others == 0 {
         return Ok(refusal(StatusCode::CONFLICT, "it is the only replica"));
@@ -373,7 +374,7 @@
     match replica.remove(&name).await {
         Err(Unacknowledged::NotRun { why, .. }) => Ok(refusal(StatusCode::CONFLICT, why)),
         Err(e) => Err(e.into()),
-        Ok(()) => Ok(json(StatusCode::OK, &json!({"removed": name}))),
+        Ok(()) => Ok(json(StatusCode::OK, &json!({"removed": true}))),
     }
 }
 
--- a/registry/src/http.rs
+++ b/registry/src/http.rs
@@ -20,8 +20,6 @@
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 
-/// For the head of a call, also of the next one on a kept connection: idle ones end by it.
-const HEAD_TIME: Duration = Duration::from_secs(75);
 /// For a body once its head has come.
 const BODY_TIME: Duration = Duration::from_secs(5);
 const LONGEST_HEAD: usize = 16 << 10;
@@ -30,14 +28,22 @@
 
 pub type Reply = Response<Full<Bytes>>;
 
-/// Answers calls for as long as the process runs, each connection in a task of its own. Over the bound, connections
-/// wait to be accepted.
-pub async fn serve<H, F>(listener: TcpListener, most: usize, handle: H)
+/// What one address lets its callers have.
+#[derive(Clone, Copy)]
+pub struct Bounds {
+    /// Connections at once. More wait to be accepted.
+    pub connections: usize,
+    /// For the head of a call, also of the next one on a kept connection: idle ones end by it.
+    pub idle: Duration,
+}
+
+/// Answers calls for as long as the process runs, each connection in a task of its own.
+pub async fn serve<H, F>(listener: TcpListener, bounds: Bounds, handle: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Reply> + Send,
 {
-    let places = Arc::new(Semaphore::new(most));
+    let places = Arc::new(Semaphore::new(bounds.connections));
     loop {
         let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
         let Ok((stream, _)) = listener.accept().await else {
@@ -54,7 +60,7 @@
             // An error is the caller's, who has gone or has been told.
             let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_TIME)
+                .header_read_timeout(bounds.idle)
                 .max_buf_size(LONGEST_HEAD)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
--- a/registry/src/reading.rs
+++ b/registry/src/reading.rs
@@ -99,6 +99,9 @@
             }
         }
     }
+    if !replica.fresh() {
+        return unavailable(NotReady::Stale.words());
+    }
     match replica.view.answer(ask.from) {
         Some(bytes) => raw(StatusCode::OK, "application/json", bytes),
         None => unavailable("this replica has not got so far"),
--- a/registry/src/replica.rs
+++ b/registry/src/replica.rs
@@ -334,7 +334,9 @@
         }
     }
 
-    fn fresh(&self) -> bool {
+    /// What is known here is no older than `stale_ms`. Asked before each list: a process that was stopped must not
+    /// answer from before.
+    pub fn fresh(&self) -> bool {
         let stale = Duration::from_millis(self.settings.stale_ms);
         if self.alone() {
             // Nobody else can change anything: what was fresh stays so, also when nothing can be written any more.
@@ -433,7 +435,7 @@
             let heard = self.quorum_age().is_some_and(|age| age < beat * 6);
             if heard {
                 unheard_since = None;
-                self.expire(term).await;
+                self.expire(term);
             } else if unheard_since.get_or_insert_with(Instant::now).elapsed() > beat * 6
                 && !self.links.hushed()
             {
@@ -462,7 +464,7 @@
         lock(&self.due).clone()
     }
 
-    async fn expire(&self, term: u64) {
+    fn expire(self: &Arc<Self>, term: u64) {
         let Some(due) = self.leases(|leases, list, now| leases.look(list, now)) else { return };
         let held = std::mem::replace(&mut *lock(&self.due), due.clone()).held;
         if due.held > 0 && held == 0 {
@@ -479,14 +481,18 @@
         if due.expire.is_empty() {
             return;
         }
-        match self.change(Command::Expire { silent: due.expire }).await {
-            Ok(Outcome::Expired { ids, version }) => {
-                self.counts.expired.fetch_add(ids.len() as u64, Ordering::Relaxed);
-                tracing::warn!("expired at version {version}: {}", ids.join(" "));
+        // Not waited for here: what else is looked at must not stand still with it.
+        let replica = Arc::clone(self);
+        tokio::spawn(async move {
+            match replica.change(Command::Expire { silent: due.expire }).await {
+                Ok(Outcome::Expired { ids, version }) => {
+                    replica.counts.expired.fetch_add(ids.len() as u64, Ordering::Relaxed);
+                    tracing::warn!("expired at version {version}: {}", ids.join(" "));
+                }
+                Ok(_) => {}
+                Err(e) => tracing::warn!("expiry in term {term}: {e}"),
             }
-            Ok(_) => {}
-            Err(e) => tracing::warn!("expiry in term {term}: {e}"),
-        }
+        });
     }
 
     // ---- Changes --------------------------------------------------------------------------------------
--- a/registry/src/service.rs
+++ b/registry/src/service.rs
@@ -18,17 +18,22 @@
 use tokio::time::sleep;
 
 use crate::changing::{self, Door, FORWARD};
-use crate::http::{body, json, not_run, parse, refusal, serve, Reply};
+use crate::http::{body, json, not_run, parse, refusal, serve, Bounds, Reply};
 use crate::links::LONGEST;
 use crate::log::OpenError;
 use crate::reading;
 use crate::replica::{Folder, Identity, Replica, Settings};
 use crate::types::{Member, Types};
 
-/// Connections at once, each also a descriptor. Nodes hold one each.
+/// Connections at once at most. Nodes hold one each.
 const MOST_READERS: usize = 8192;
 const MOST_CHANGERS: usize = 1024;
 const MOST_REPLICAS: usize = 256;
+/// Taken for the limit of descriptors where the system does not tell it.
+const DESCRIPTORS: usize = 1024;
+/// A watch may wait 60 s, and a node ask again after it. Agents and operators have no need to be silent.
+const READERS_IDLE: Duration = Duration::from_secs(75);
+const CHANGERS_IDLE: Duration = Duration::from_secs(10);
 /// Connections that may wait to be accepted: nodes that lost a replica come to the others at once, and one that
 /// finds no room tries again only after 1 s.
 const BACKLOG: u32 = 4096;
@@ -115,7 +120,9 @@
     if let Some(addr) = options.replica {
         let listener = listen(addr)?;
         let front = front.clone();
-        tokio::spawn(serve(listener, MOST_REPLICAS, move |request| attend(front.clone(), request)));
+        tokio::spawn(serve(listener, bounds(MOST_REPLICAS, 8, READERS_IDLE), move |request| {
+            attend(front.clone(), request)
+        }));
     }
     tokio::pin!(stop);
     let replica = tokio::select! {
@@ -123,11 +130,11 @@
         () = &mut stop => return Ok(()),
     };
     let reader = Arc::clone(&replica);
-    tokio::spawn(serve(discovery, MOST_READERS, move |request| {
+    tokio::spawn(serve(discovery, bounds(MOST_READERS, 2, READERS_IDLE), move |request| {
         reading::answer(Arc::clone(&reader), request)
     }));
     let changer = Arc::clone(&replica);
-    tokio::spawn(serve(ops, MOST_CHANGERS, move |request| {
+    tokio::spawn(serve(ops, bounds(MOST_CHANGERS, 4, CHANGERS_IDLE), move |request| {
         changing::answer(Arc::clone(&changer), request, false)
     }));
     tokio::select! {
@@ -142,6 +149,14 @@
     Ok(())
 }
 
+/// Each address has its part of the descriptors that the process may have, so that nodes don't shut replicas out.
+fn bounds(most: usize, part: usize, idle: Duration) -> Bounds {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let open = limits.lines().find_map(|line| line.strip_prefix("Max open files")).unwrap_or_default();
+    let limit = open.split_whitespace().next().and_then(|limit| limit.parse().ok()).unwrap_or(DESCRIPTORS);
+    Bounds { connections: most.min((limit / part).max(1)), idle }
+}
+
 fn check(options: &Options) -> Result<(), ServiceError> {
     let wrong = |what: String| Err(ServiceError::Wrong(what));
     if let Err(e) = shaletrail_wire::check_id(&options.name) {
