--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -34,7 +34,7 @@
     /// Changes before the starts are timed
     #[arg(long, default_value_t = 50_000)]
     history: usize,
-    /// Stated in the report; places of servers are drawn in a fixed order
+    /// Draws which servers change
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// One JSON object instead of text
--- a/client/src/follow.rs
+++ b/client/src/follow.rs
@@ -14,7 +14,7 @@
 const HOLD: Duration = Duration::from_secs(20);
 /// An answer that is so late after the end of its wait is not waited for alone any more.
 const SILENCE: Duration = Duration::from_millis(1900);
-/// The same for a call that should be answered at once, grown with each that is not.
+/// The same where a call should be answered at once and others were not, grown with each up to a half more.
 const QUICK_SILENCE: Duration = Duration::from_millis(1200);
 /// A service that works through its calls in turn may still answer; beyond this it does not.
 const PATIENCE: Duration = Duration::from_millis(3500);
@@ -319,11 +319,10 @@
                 hold + QUICK_SILENCE.mul_f64(0.9 + 0.1 * self.random())
             }
             Duration::ZERO if self.silences > 0 => {
-                let grown = QUICK_SILENCE.mul_f64(1.5_f64.powi(self.silences.min(4) as i32));
+                let grown = QUICK_SILENCE.mul_f64(1.25_f64.powi(self.silences.min(3) as i32 - 1));
                 // Never in step with others that were silenced together.
-                grown.min(PATIENCE).mul_f64(0.9 + 0.1 * self.random())
+                grown.mul_f64(0.9 + 0.1 * self.random())
             }
-            Duration::ZERO => PATIENCE,
             hold => hold + SILENCE,
         };
         let call = self.next_call;
--- a/lab/src/bench.rs
+++ b/lab/src/bench.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use crate::chance::Chance;
 use crate::observer::numbered;
 use crate::party::PlainList;
 use crate::service::Service;
@@ -90,11 +91,13 @@
     let mut forms = Vec::new();
     say("a plain list in memory");
     let plain = PlainList::start().await?;
-    forms.push(form("plain list in memory", vec![plain], vec![plain], &size).await?);
+    forms.push(form("plain list in memory", vec![plain], vec![plain], &size, seed).await?);
     for replicas in [1, 3] {
         say(&format!("{replicas} replica(s): watchers and changes"));
         let service = start(program, replicas).await?;
-        forms.push(form(&format!("{replicas} replica(s)"), service.ops(), service.discovery(), &size).await?);
+        forms.push(
+            form(&format!("{replicas} replica(s)"), service.ops(), service.discovery(), &size, seed).await?,
+        );
         end(service).await?;
     }
     say("the leader killed, again and again");
@@ -189,8 +192,10 @@
     ops: Vec<SocketAddr>,
     discovery: Vec<SocketAddr>,
     size: &Size,
+    seed: u64,
 ) -> Result<Form, Failed> {
     let mut changes = Changes::new(ops.clone());
+    let mut chance = Chance::new(name, seed);
     for n in 0..size.servers {
         // Enough at once to be quick; each id once.
         if n % 64 == 0 {
@@ -232,8 +237,7 @@
     let (mut last, mut bytes) = (Vec::new(), 0);
     for number in 0..size.changes as u64 {
         let began = Instant::now();
-        let version =
-            put(&mut changes, &format!("s{}", number * 7 % size.servers as u64), number + 2).await?;
+        let version = put(&mut changes, &format!("s{}", chance.below(size.servers)), number + 2).await?;
         let mut reached = 0;
         while reached < size.watchers {
             let news = tokio::time::timeout(Duration::from_secs(30), heard.recv()).await?;
--- a/lab/src/chance.rs
+++ b/lab/src/chance.rs
@@ -16,7 +16,8 @@
     /// Draws from `LAB_SEED` if that is set, else from this seed. Prints which.
     pub fn new(play: &str, seed: u64) -> Self {
         let seed = std::env::var(VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(seed);
-        println!("{play}: seed {seed}; replay it with {VARIABLE}={seed}");
+        // Beside what a program says for others to read.
+        eprintln!("{play}: seed {seed}; replay it with {VARIABLE}={seed}");
         Chance { seed, generator: StdRng::seed_from_u64(seed) }
     }
 
