--- a/cli/src/registry.rs
+++ b/cli/src/registry.rs
@@ -226,7 +226,8 @@
     let body = Changes::new(service.registry).get("/registry/backup", LONGEST_LIST * 4).await;
     let body = body.map_err(Failure::failed)?;
     let failed = |e: std::io::Error| Failure::Failed(format!("{}: {e}", file.display()));
-    let new = file.with_extension("new");
+    let mut new = file.as_os_str().to_owned();
+    new.push(".new");
     let write = || {
         let mut writing = std::fs::File::create(&new)?;
         writing.write_all(&body)?;
--- a/lab/src/chance.rs
+++ b/lab/src/chance.rs
@@ -25,8 +25,4 @@
     pub fn below(&mut self, n: usize) -> usize {
         self.generator.random_range(0..n)
     }
-
-    pub fn one_of<T: Copy>(&mut self, of: &[T]) -> T {
-        of[self.below(of.len())]
-    }
 }
