Play scenarios on a real fleet between emulated parties: shaletrail lab run

Change: scenario (TOML, every bound checked), plan (arrivals drawn ahead), machine (pure model of a server), net (doors that delay, lose, reset, cut and fall silent; a silent door keeps its accept queue full), parties, clients, fleet (processes, views of discovery, relays of messages), conduct (time line), judge (nine rules, worth, recovery, amplification), report (JSON, Markdown, SVG). A guard process ends all children with the lab.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod bench;
 mod config;
+mod lab;
 mod list;
 mod registry;
 mod up;
@@ -45,6 +46,11 @@
     Agent(agent::Args),
     /// Start a small fleet on loopback: a registry, emulated cache servers and an origin, and a node
     Up(up::Args),
+    /// Play failures on a fleet between emulated parties, and judge what was seen
+    Lab(lab::Args),
+    /// Ends the processes named on standard input when that ends
+    #[command(hide = true)]
+    Guard,
     /// Measure what the parts cost on this machine
     Bench(bench::Args),
     /// Check a configuration file, or show every setting with its default
@@ -57,6 +63,8 @@
     Failed(String),
     /// Exit 2: the call or the configuration is wrong.
     Wrong(String),
+    /// Exit 3: the run says nothing.
+    Void(String),
 }
 
 impl Failure {
@@ -89,6 +97,11 @@
             Noun::List(args) => list::run(args).await,
             Noun::Agent(args) => agent::run(args).await,
             Noun::Up(args) => up::run(args).await,
+            Noun::Lab(args) => lab::run(args).await,
+            Noun::Guard => {
+                shaletrail_lab::process::stand_guard(std::io::stdin().lock());
+                Ok(())
+            }
             Noun::Bench(args) => bench::run(args).await,
             Noun::Config(args) => config::run(&args),
         }
@@ -100,6 +113,7 @@
         Ok(()) => return ExitCode::SUCCESS,
         Err(Failure::Failed(what)) => (what, 1),
         Err(Failure::Wrong(what)) => (what, 2),
+        Err(Failure::Void(what)) => (what, 3),
     };
     eprintln!("shaletrail: {}", what.trim_end().replace('\n', " "));
     ExitCode::from(code)
--- /dev/null
+++ b/lab/src/conduct.rs
@@ -0,0 +1,566 @@
+//! Plays a scenario: starts the fleet, sends the load, carries the time line out, and gives back what was seen.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::SeedableRng;
+use shaletrail_client::agent::{self, Duty};
+use shaletrail_client::changes::Changes;
+use shaletrail_client::driver::ask;
+use shaletrail_client::follow::Ask;
+use shaletrail_wire::{Entry, State};
+use tokio::process::{Child, Command};
+use tokio::sync::watch;
+use tokio::time::{sleep, sleep_until, Instant};
+
+use crate::clients::Clients;
+use crate::fleet::{ready, Fleet, Node};
+use crate::judge::{Band, Run};
+use crate::net::{at, Life, Links, Way};
+use crate::parties::{lock, Book, Parties, Party};
+use crate::plan::draw;
+use crate::scenario::{Fault, Scenario, What, Whom};
+
+/// The programs that are run.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    pub shaletrail: PathBuf,
+    pub node: PathBuf,
+}
+
+/// For the list to hold all servers, and for nodes to follow it, before the load begins.
+const LISTED: Duration = Duration::from_secs(60);
+/// After the last answer, so that what the fleet does by itself is seen.
+const AFTERWARDS: Duration = Duration::from_millis(300);
+/// A way's breaking, in a zone whose connections are reset.
+const RESETS_MS: u64 = 300;
+
+/// Tells the agents of one party: go on, say goodbye, or be gone at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Agent {
+    On,
+    Goodbye,
+    Gone,
+}
+
+struct Conductor {
+    book: Arc<Book>,
+    parties: Arc<Parties>,
+    fleet: Arc<Fleet>,
+    clients: Arc<Clients>,
+    programs: Programs,
+    ops: Vec<std::net::SocketAddr>,
+    agents: Mutex<BTreeMap<String, watch::Sender<Agent>>>,
+    /// Draws of whom a share strikes; each fault its own, so that taking it back finds the same ones.
+    seed: u64,
+}
+
+fn unix_ms() -> u64 {
+    // The list's form asks for the time of a start by the common clock; nothing here is reckoned by it.
+    #[allow(clippy::disallowed_methods)]
+    let now = std::time::SystemTime::now();
+    now.duration_since(std::time::UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Plays it once. `progress` is told the time of the run, in seconds, now and then.
+///
+/// # Errors
+/// Where the fleet does not start, which is no verdict on it.
+pub async fn play(
+    mut scenario: Scenario,
+    seed: u64,
+    programs: &Programs,
+    progress: impl FnMut(f64),
+) -> io::Result<Run> {
+    scenario.seed = seed;
+    let link = &scenario.link;
+    let way = |delay_ms| Way { delay_ms, jitter_ms: link.jitter_ms, ..Way::default() };
+    let same = Way { jitter_ms: 0.0, ..way(link.same_ms) };
+    let links = Links::new(scenario.fleet.zones.len(), same, way(link.cross_ms));
+    let plan = draw(&scenario, seed);
+    // The start is put off until the fleet is ready; everything reads the time from it.
+    let boot = Arc::new(Book::new(scenario.clone(), plan));
+    let parties = Parties::new(Arc::clone(&boot), links, seed);
+    let fleet = Arc::new(Fleet::start(&boot, &parties, &programs.shaletrail, &programs.node).await?);
+    let clients = Clients::new(Arc::clone(&boot), fleet.nodes.clone(), seed);
+    let ops = lock(&fleet.service).ops();
+    let conductor = Arc::new(Conductor {
+        book: Arc::clone(&boot),
+        parties: Arc::clone(&parties),
+        fleet: Arc::clone(&fleet),
+        clients: Arc::clone(&clients),
+        programs: programs.clone(),
+        ops,
+        agents: Mutex::default(),
+        seed,
+    });
+    parties.open(&parties.origin);
+    conductor.list(&parties.origin);
+    for n in 0..scenario.fleet.servers {
+        let party = parties.add(format!("cache-{n}"), n, 0, true);
+        conductor.list(&party);
+    }
+    conductor.wait_for_list(scenario.fleet.servers + 1).await?;
+    fleet.start_nodes().await?;
+    let begin = boot.begin();
+    let lead = {
+        let (book, lead) = (Arc::clone(&boot), scenario.lead_s);
+        tokio::spawn(async move {
+            sleep_until(at(begin, lead)).await;
+            book.leading.store(false, Ordering::Relaxed);
+        })
+    };
+    let mut playing = Vec::new();
+    for (n, fault) in scenario.faults.iter().enumerate() {
+        let (conductor, fault) = (Arc::clone(&conductor), fault.clone());
+        playing.push(tokio::spawn(async move { conductor.fault(n, &fault).await }));
+    }
+    clients.run(progress).await;
+    sleep(AFTERWARDS).await;
+    lead.abort();
+    let mut bands = Vec::new();
+    for fault in playing {
+        match fault.await {
+            Ok(Ok(band)) => bands.push(band),
+            Ok(Err(e)) => return Err(e),
+            Err(e) => return Err(io::Error::other(e)),
+        }
+    }
+    Ok(collect(&boot, &parties, &fleet, &clients, bands, seed))
+}
+
+fn collect(
+    book: &Arc<Book>,
+    parties: &Arc<Parties>,
+    fleet: &Arc<Fleet>,
+    clients: &Arc<Clients>,
+    bands: Vec<Band>,
+    seed: u64,
+) -> Run {
+    let zones: Vec<u8> = parties.all().iter().map(|party| party.zone as u8).collect();
+    let take = |away: &Mutex<Vec<(f64, f64)>>| lock(away).clone();
+    let panics = fleet.logs().into_iter().filter(|(_, log)| log.contains("panicked")).map(|(name, _)| name);
+    let mut crashed = fleet.crashed();
+    crashed.extend(panics);
+    Run {
+        scenario: book.scenario.clone(),
+        seed,
+        plan: book.plan.clone(),
+        tries: std::mem::take(&mut lock(&clients.tries)),
+        seen: std::mem::take(&mut lock(&book.seen)),
+        falls: std::mem::take(&mut lock(&book.falls)),
+        told: std::mem::take(&mut lock(&fleet.views.told)),
+        versions: std::mem::take(&mut lock(&fleet.views.versions)),
+        foreign_ids: book.foreign.load(Ordering::Relaxed) as u64,
+        long_messages: fleet.views.long_messages.load(Ordering::Relaxed) as u64,
+        away: fleet.nodes.iter().map(|node| take(&node.away)).collect(),
+        crashed,
+        server_zones: zones,
+        bands,
+        lateness: lock(&clients.lateness).clone(),
+    }
+}
+
+impl Conductor {
+    // ---- Agents ------------------------------------------------------------------------------------------
+
+    /// Starts a party's agent.
+    fn list(self: &Arc<Self>, party: &Arc<Party>) {
+        let spec = &self.book.scenario;
+        let kind = if party.id == self.parties.origin.id { "origin" } else { "box" };
+        let addr = party.addrs[party.zone];
+        let entry = Entry {
+            id: party.id.clone(),
+            addr,
+            zone: spec.fleet.zones[party.zone].clone(),
+            kind: kind.to_owned(),
+            cell: 0,
+            state: State::Active,
+            weight: 1.0,
+            started_ms: party.started_ms.load(Ordering::Relaxed),
+        };
+        let lease = Duration::from_secs_f64(spec.fleet.lease_s);
+        let drain = Duration::from_secs_f64(spec.servers.drain_s);
+        let (tell, mut told) = watch::channel(Agent::On);
+        lock(&self.agents).insert(party.id.clone(), tell);
+        if spec.fleet.agent_processes {
+            let started = self.start_agent(&entry);
+            tokio::spawn(async move {
+                let Ok(mut agent) = started else { return };
+                let gone = told.wait_for(|told| *told != Agent::On).await.map_or(Agent::Gone, |told| *told);
+                if gone == Agent::Goodbye {
+                    if let Some(id) = agent.id() {
+                        let id = id.to_string();
+                        let _ = Command::new("kill").args(["-TERM", &id]).status().await;
+                    }
+                    let _ = agent.wait().await;
+                }
+                let _ = agent.kill().await;
+            });
+            return;
+        }
+        let (ops, id) = (self.ops.clone(), party.id.clone());
+        tokio::spawn(async move {
+            let duty = Duty { entry, lease, drain, check: addr };
+            let mut stop = told.clone();
+            let stop = async move {
+                let _ = stop.wait_for(|told| *told == Agent::Goodbye).await;
+            };
+            let mut changes = Changes::new(ops);
+            tokio::select! {
+                ended = agent::run(&duty, &mut changes, stop, |what| tracing::debug!("{what}")) => {
+                    if let Err(e) = ended {
+                        tracing::warn!("agent of {id}: {e}");
+                    }
+                }
+                _ = told.wait_for(|told| *told == Agent::Gone) => {}
+            }
+        });
+    }
+
+    fn start_agent(&self, entry: &Entry) -> io::Result<Child> {
+        let list: Vec<String> = self.ops.iter().map(ToString::to_string).collect();
+        let spec = &self.book.scenario;
+        let mut command = Command::new(&self.programs.shaletrail);
+        command.args(["agent", "--registry", &list.join(","), "--id", &entry.id]);
+        command.args(["--addr", &entry.addr.to_string(), "--zone", &entry.zone, "--kind", &entry.kind]);
+        command.args(["--lease-s", &spec.fleet.lease_s.to_string()]);
+        command.args(["--drain-s", &spec.servers.drain_s.to_string()]);
+        command.stdin(std::process::Stdio::null()).stderr(std::process::Stdio::null());
+        command.kill_on_drop(true).spawn()
+    }
+
+    fn tell_agent(&self, id: &str, what: Agent) {
+        if let Some(agent) = lock(&self.agents).get(id) {
+            agent.send_replace(what);
+        }
+    }
+
+    async fn wait_for_list(&self, count: usize) -> io::Result<()> {
+        let discovery = lock(&self.fleet.service).discovery();
+        let until = Instant::now() + LISTED;
+        loop {
+            let list = ask(discovery[0], Ask::Whole).await;
+            if list.is_ok_and(|list| list.servers.len() >= count) {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                return Err(io::Error::other(format!("{count} servers are not listed in time")));
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    // ---- Whom --------------------------------------------------------------------------------------------
+
+    /// Those of `0..count` that are meant, the same ones each time for the same fault.
+    fn struck(
+        &self,
+        whom: &Whom,
+        fault: usize,
+        count: usize,
+        zone: impl Fn(usize) -> usize,
+        first: usize,
+    ) -> Vec<usize> {
+        let all = 0..count;
+        match whom {
+            Whom::All => all.collect(),
+            Whom::Zone(name) => {
+                let wanted = self.zone(name);
+                all.filter(|n| zone(*n) == wanted).collect()
+            }
+            Whom::Share(share) => {
+                let mut order: Vec<usize> = all.collect();
+                order.shuffle(&mut StdRng::seed_from_u64(self.seed ^ (fault as u64 + 1)));
+                order.truncate((count as f64 * share).round() as usize);
+                order
+            }
+            Whom::Count(n) => all.take(*n).collect(),
+            Whom::Name(name) => {
+                let digits = name.trim_start_matches(|c: char| !c.is_ascii_digit());
+                digits.parse::<usize>().ok().and_then(|n| n.checked_sub(first)).into_iter().collect()
+            }
+        }
+    }
+
+    fn servers(&self, whom: &Whom, fault: usize) -> Vec<Arc<Party>> {
+        let all = self.parties.all();
+        let count = self.book.scenario.fleet.servers;
+        let struck = self.struck(whom, fault, count, |n| all[n].zone, 0);
+        struck.into_iter().map(|n| Arc::clone(&all[n])).collect()
+    }
+
+    fn nodes(&self, whom: &Whom, fault: usize) -> Vec<Arc<Node>> {
+        let all = &self.fleet.nodes;
+        let struck = self.struck(whom, fault, all.len(), |n| all[n].zone, 0);
+        struck.into_iter().map(|n| Arc::clone(&all[n])).collect()
+    }
+
+    fn replicas(&self, whom: &Whom, fault: usize) -> Vec<usize> {
+        let zones = self.book.scenario.fleet.zones.len();
+        self.struck(whom, fault, self.ops.len(), |n| n % zones, 1)
+    }
+
+    fn zone(&self, name: &str) -> usize {
+        self.book.scenario.fleet.zones.iter().position(|zone| zone == name).unwrap_or(usize::MAX)
+    }
+
+    // ---- Faults ------------------------------------------------------------------------------------------
+
+    /// Plays one fault and takes it back; when it was in force, in the run's time.
+    async fn fault(self: &Arc<Self>, n: usize, fault: &Fault) -> io::Result<Band> {
+        let lead = self.book.scenario.lead_s;
+        sleep_until(at(self.book.start(), lead + fault.at_s)).await;
+        let from_s = self.book.now();
+        let name = format!("{:?}", fault.what);
+        let name = name.split([' ', '{']).next().unwrap_or_default().to_owned();
+        if let What::Replace { share, batch } = fault.what {
+            self.replace(share, batch, fault.for_s.unwrap_or(0.0)).await;
+            return Ok(Band { name, from_s, to_s: Some(self.book.now()) });
+        }
+        if let What::UpgradeNodes {} = fault.what {
+            let pause = fault.for_s.unwrap_or(0.0) / self.fleet.nodes.len() as f64;
+            for node in &self.fleet.nodes {
+                let next = Instant::now() + Duration::from_secs_f64(pause);
+                self.fleet.upgrade(node).await?;
+                sleep_until(next).await;
+            }
+            return Ok(Band { name, from_s, to_s: Some(self.book.now()) });
+        }
+        self.strike(n, &fault.what).await?;
+        let Some(length) = fault.for_s else {
+            let passes = matches!(fault.what, What::ColdServers { .. } | What::MoveDiscovery {});
+            return Ok(Band { name, from_s, to_s: passes.then(|| self.book.now()) });
+        };
+        sleep_until(at(self.book.start(), lead + fault.at_s + length)).await;
+        self.take_back(n, &fault.what).await?;
+        Ok(Band { name, from_s, to_s: Some(self.book.now()) })
+    }
+
+    async fn strike(self: &Arc<Self>, n: usize, what: &What) -> io::Result<()> {
+        let cut = |way: Way| Way { cut: true, ..way };
+        let usual = |way: Way| way;
+        match what {
+            What::KillServers { whom } => self.lose(&self.servers(whom, n), Life::Dead),
+            What::SilenceServers { whom } => self.lose(&self.servers(whom, n), Life::Vanished),
+            What::PauseServers { whom } => {
+                self.servers(whom, n).iter().for_each(|party| self.parties.pause(party, true));
+            }
+            What::SlowServers { whom, times } => {
+                self.servers(whom, n).iter().for_each(|party| self.parties.slow(party, *times));
+            }
+            What::ServerErrors { whom, share } => {
+                self.servers(whom, n).iter().for_each(|party| party.set_errors(*share));
+            }
+            What::ColdServers { whom } => {
+                for party in self.servers(whom, n) {
+                    self.lose(std::slice::from_ref(&party), Life::Dead);
+                    self.restart(&party);
+                }
+            }
+            What::DrainServers { whom } => {
+                self.servers(whom, n).iter().for_each(|party| self.tell_agent(&party.id, Agent::Goodbye));
+            }
+            What::DisableServers { whom } => self.by_hand(whom, n, "disable").await,
+            What::SlowOrigin { times } => self.parties.slow(&self.parties.origin, *times),
+            What::StopOrigin {} => self.parties.pause(&self.parties.origin, true),
+            What::KillNodes { whom } => self.kill_nodes(&self.nodes(whom, n)),
+            What::StopNodes { whom } => {
+                for node in self.nodes(whom, n) {
+                    self.leave(&node);
+                    self.fleet.signal(&node, "STOP");
+                }
+            }
+            What::KillReplicas { whom } => {
+                self.replicas(whom, n).into_iter().for_each(|n| lock(&self.fleet.service).kill(n));
+            }
+            What::StopReplicas { whom } => {
+                for n in self.replicas(whom, n) {
+                    lock(&self.fleet.service).process(n).signal("STOP");
+                }
+            }
+            What::MoveDiscovery {} => self.fleet.move_discovery().await?,
+            What::LoseZone { zone, nodes } => {
+                let whom = Whom::Zone(zone.clone());
+                self.lose(&self.servers(&whom, n), Life::Vanished);
+                if *nodes {
+                    self.kill_nodes(&self.nodes(&whom, n));
+                }
+            }
+            What::CutZone { zone, one_way } => {
+                let links = self.parties.links();
+                links.change(self.zone(zone), cut, if *one_way { usual } else { cut });
+            }
+            What::SlowZone { zone, delay_ms, jitter_ms, loss, kb_per_s } => {
+                let slow = |way: Way| Way {
+                    delay_ms: way.delay_ms + delay_ms,
+                    jitter_ms: way.jitter_ms + jitter_ms,
+                    loss: *loss,
+                    kb_per_s: *kb_per_s,
+                    ..way
+                };
+                self.parties.links().change(self.zone(zone), slow, slow);
+            }
+            What::ResetZone { zone } => {
+                let breaks = |way: Way| Way { reset_ms: Some(RESETS_MS), ..way };
+                self.parties.links().change(self.zone(zone), breaks, breaks);
+            }
+            What::RetryStorm { retries } => self.clients.storm.store(*retries, Ordering::Relaxed),
+            // The plan has them, or they are played above.
+            What::Surge { .. } | What::FlashCrowd { .. } | What::Replace { .. } | What::UpgradeNodes {} => {}
+        }
+        Ok(())
+    }
+
+    async fn take_back(self: &Arc<Self>, n: usize, what: &What) -> io::Result<()> {
+        let usual = |way: Way| way;
+        match what {
+            What::KillServers { whom } | What::SilenceServers { whom } | What::DrainServers { whom } => {
+                for party in self.servers(whom, n) {
+                    self.lose(std::slice::from_ref(&party), Life::Dead);
+                    self.restart(&party);
+                }
+            }
+            What::PauseServers { whom } => {
+                self.servers(whom, n).iter().for_each(|party| self.parties.pause(party, false));
+            }
+            What::SlowServers { whom, .. } => {
+                self.servers(whom, n).iter().for_each(|party| self.parties.slow(party, 1.0));
+            }
+            What::ServerErrors { whom, .. } => {
+                let usual = self.book.scenario.servers.errors;
+                self.servers(whom, n).iter().for_each(|party| party.set_errors(usual));
+            }
+            What::DisableServers { whom } => self.by_hand(whom, n, "enable").await,
+            What::SlowOrigin { .. } => self.parties.slow(&self.parties.origin, 1.0),
+            What::StopOrigin {} => self.parties.pause(&self.parties.origin, false),
+            What::KillNodes { whom } => self.start_nodes(self.nodes(whom, n)).await?,
+            What::StopNodes { whom } => {
+                for node in self.nodes(whom, n) {
+                    self.fleet.signal(&node, "CONT");
+                    self.back(&node);
+                }
+            }
+            What::KillReplicas { whom } => {
+                self.replicas(whom, n).into_iter().for_each(|n| lock(&self.fleet.service).launch(n));
+            }
+            What::StopReplicas { whom } => {
+                for n in self.replicas(whom, n) {
+                    lock(&self.fleet.service).process(n).signal("CONT");
+                }
+            }
+            What::LoseZone { zone, nodes } => {
+                let whom = Whom::Zone(zone.clone());
+                for party in self.servers(&whom, n) {
+                    self.restart(&party);
+                }
+                if *nodes {
+                    self.start_nodes(self.nodes(&whom, n)).await?;
+                }
+            }
+            What::CutZone { zone, .. } | What::SlowZone { zone, .. } | What::ResetZone { zone } => {
+                self.parties.links().change(self.zone(zone), usual, usual);
+            }
+            What::RetryStorm { .. } => self.clients.storm.store(0, Ordering::Relaxed),
+            What::ColdServers { .. }
+            | What::MoveDiscovery {}
+            | What::Surge { .. }
+            | What::FlashCrowd { .. }
+            | What::Replace { .. }
+            | What::UpgradeNodes {} => {}
+        }
+        Ok(())
+    }
+
+    /// Processes or machines are gone, their agents with them.
+    fn lose(&self, parties: &[Arc<Party>], how: Life) {
+        for party in parties {
+            self.tell_agent(&party.id, Agent::Gone);
+            party.life.send_replace(how);
+        }
+    }
+
+    /// A server of this name starts anew, cold and empty, and is listed again.
+    fn restart(self: &Arc<Self>, party: &Arc<Party>) {
+        self.parties.restart(party, unix_ms());
+        self.list(party);
+    }
+
+    async fn by_hand(&self, whom: &Whom, n: usize, call: &str) {
+        for party in self.servers(whom, n) {
+            for node in &self.fleet.nodes {
+                if !self.fleet.by_hand(node, &party.id, call).await {
+                    tracing::warn!("{}: {call} {} did not go through", node.name, party.id);
+                }
+            }
+        }
+    }
+
+    /// The node does not answer from now on; its front notices later.
+    fn leave(self: &Arc<Self>, node: &Arc<Node>) {
+        lock(&node.away).push((self.book.now(), f64::INFINITY));
+        let (node, late) = (Arc::clone(node), self.book.scenario.load.notice_s);
+        tokio::spawn(async move {
+            sleep(Duration::from_secs_f64(late)).await;
+            if lock(&node.away).last().is_some_and(|(_, to)| to.is_infinite()) {
+                node.in_use.store(false, Ordering::Relaxed);
+            }
+        });
+    }
+
+    fn back(&self, node: &Node) {
+        if let Some(last) = lock(&node.away).last_mut() {
+            last.1 = self.book.now();
+        }
+        node.in_use.store(true, Ordering::Relaxed);
+    }
+
+    fn kill_nodes(self: &Arc<Self>, nodes: &[Arc<Node>]) {
+        for node in nodes {
+            self.leave(node);
+            self.fleet.kill(node);
+        }
+    }
+
+    async fn start_nodes(&self, nodes: Vec<Arc<Node>>) -> io::Result<()> {
+        for node in &nodes {
+            self.fleet.launch(node)?;
+        }
+        for node in &nodes {
+            ready(node.listen).await?;
+            self.back(node);
+        }
+        Ok(())
+    }
+
+    /// Replaces servers by new ones, in batches over the time given: goodbye, drain, then a new one in its place.
+    async fn replace(self: &Arc<Self>, share: f64, batch: usize, over_s: f64) {
+        let count = (self.book.scenario.fleet.servers as f64 * share).round() as usize;
+        let batches = count.div_ceil(batch).max(1);
+        let pause = Duration::from_secs_f64(over_s / batches as f64);
+        let drain = Duration::from_secs_f64(self.book.scenario.servers.drain_s);
+        let old = self.parties.all();
+        let mut work = tokio::task::JoinSet::new();
+        for batch in old[..count].chunks(batch) {
+            for party in batch {
+                self.tell_agent(&party.id, Agent::Goodbye);
+                let (conductor, party) = (Arc::clone(self), Arc::clone(party));
+                work.spawn(async move {
+                    sleep(drain).await;
+                    party.life.send_replace(Life::Dead);
+                    let place = usize::from(party.number);
+                    let new = conductor.parties.add(format!("{}b", party.id), place, unix_ms(), false);
+                    conductor.list(&new);
+                });
+            }
+            sleep(pause).await;
+        }
+        while work.join_next().await.is_some() {}
+    }
+}
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -1,11 +1,13 @@
 //! A program as a child: started, signalled, and ended with the harness.
 
+use std::collections::BTreeSet;
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{self, BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStdin, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -27,6 +29,45 @@
     }
 }
 
+/// The process that ends the others when this one dies without doing so.
+static GUARD: OnceLock<Mutex<ChildStdin>> = OnceLock::new();
+
+/// Starts the guard: from here on no process outlives this one, whatever ends it. `command` must call [`stand_guard`]
+/// on its standard input.
+///
+/// # Errors
+/// Where it can't be started.
+pub fn start_guard(command: &mut Command) -> io::Result<()> {
+    use std::os::unix::process::CommandExt;
+    // A group of its own: Ctrl-C at a terminal is for the others.
+    let mut child = command.stdin(Stdio::piped()).stdout(Stdio::null()).process_group(0).spawn()?;
+    if let Some(input) = child.stdin.take() {
+        let _ = GUARD.set(Mutex::new(input));
+    }
+    Ok(())
+}
+
+fn guard(sign: char, id: u32) {
+    if let Some(guard) = GUARD.get() {
+        let _ = writeln!(guard.lock().unwrap_or_else(PoisonError::into_inner), "{sign}{id}");
+    }
+}
+
+/// Reads `+PID` and `-PID` until the input ends, as it does with its writer, and kills those that are left.
+pub fn stand_guard(input: impl BufRead) {
+    let mut running = BTreeSet::new();
+    for line in input.lines().map_while(Result::ok) {
+        match line.split_at_checked(1) {
+            Some(("+", id)) => _ = running.insert(id.to_owned()),
+            Some(("-", id)) => _ = running.remove(id),
+            _ => {}
+        }
+    }
+    for id in running {
+        let _ = Command::new("kill").args(["-KILL", &id]).stderr(Stdio::null()).status();
+    }
+}
+
 /// A running program. Its standard error goes to a file.
 pub struct Process {
     child: Child,
@@ -38,14 +79,23 @@
     /// # Panics
     /// When the program can't be started.
     pub fn start(command: &mut Command, log: &Path) -> Process {
+        Process::start_with(command, log, Stdio::null())
+    }
+
+    /// The same with its standard input: a listening socket, say, that the process takes over.
+    ///
+    /// # Panics
+    /// When the program can't be started.
+    pub fn start_with(command: &mut Command, log: &Path, input: Stdio) -> Process {
         let errors = File::options().create(true).append(true).open(log).expect("a log file");
         let mut child = command
-            .stdin(Stdio::null())
+            .stdin(input)
             .stdout(Stdio::piped())
             .stderr(errors)
             .spawn()
             .unwrap_or_else(|e| panic!("{:?}: {e}", command.get_program()));
         let (said, lines) = channel();
+        guard('+', child.id());
         if let Some(out) = child.stdout.take() {
             thread::spawn(move || {
                 for line in BufReader::new(out).lines().map_while(Result::ok) {
@@ -96,6 +146,12 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        guard('-', self.child.id());
+    }
+
+    /// Whether it has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
     /// Waits for it to end by itself.
