--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -6,14 +6,19 @@
 
 use clap::Subcommand;
 use indicatif::{ProgressBar, ProgressStyle};
+use serde::Serialize;
 use shaletrail_lab::conduct::{play, Programs};
+use shaletrail_lab::experiment::{cliff, compare, step, with, Estimate, Step};
 use shaletrail_lab::judge::{judge, Report, Verdict};
 use shaletrail_lab::process::start_guard;
-use shaletrail_lab::report::{row, write, ROW_HEAD};
+use shaletrail_lab::report::{plot, row, write, Curve, ROW_HEAD};
 use shaletrail_lab::scenario::{Scenario, CATALOGUE};
 
 use crate::{stopped, Failure};
 
+/// In a run's folder, beside its report.
+const SCENARIO: &str = "scenario.toml";
+
 #[derive(clap::Args)]
 pub struct Args {
     #[command(subcommand)]
@@ -34,6 +39,78 @@
     },
     /// Play a scenario: exit 0 when all that must hold held, 1 when not, 3 when the run says nothing
     Run(Run),
+    /// Play again what an earlier run's folder holds, with its seed
+    Replay {
+        /// The folder that `--out` named
+        dir: PathBuf,
+        /// The node's program; the one beside this program without it
+        #[arg(long)]
+        node: Option<PathBuf>,
+        /// Folder for this run's report
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// The report as JSON on standard output
+        #[arg(long)]
+        json: bool,
+    },
+    /// Set two builds of the node side by side: runs in turn, each seed with both
+    Compare(Compare),
+    /// Play a scenario with one figure varied over a range, and look for a cliff
+    Sweep(Sweep),
+}
+
+#[derive(clap::Args)]
+struct Compare {
+    /// A file, or a name of the catalogue
+    scenario: String,
+    /// The node's program A
+    #[arg(long)]
+    a: PathBuf,
+    /// The node's program B
+    #[arg(long)]
+    b: PathBuf,
+    /// Runs of each
+    #[arg(long, default_value_t = 5)]
+    runs: u64,
+    /// Seed of the first pair; the next have the next ones
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Folder for compare.json and compare.md
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// JSON on standard output
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(clap::Args)]
+struct Sweep {
+    /// A file, or a name of the catalogue
+    scenario: String,
+    /// The figure, by its path in the file
+    #[arg(long, default_value = "load.of_capacity")]
+    vary: String,
+    #[arg(long, default_value_t = 0.3)]
+    from: f64,
+    #[arg(long, default_value_t = 3.0)]
+    to: f64,
+    /// Values, the first and the last included
+    #[arg(long, default_value_t = 10)]
+    steps: usize,
+    /// Runs of each value
+    #[arg(long, default_value_t = 1)]
+    runs: u64,
+    #[arg(long)]
+    seed: Option<u64>,
+    /// The node's program; the one beside this program without it
+    #[arg(long)]
+    node: Option<PathBuf>,
+    /// Folder for sweep.json, sweep.md and the plot
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// JSON on standard output
+    #[arg(long)]
+    json: bool,
 }
 
 #[derive(clap::Args)]
@@ -58,7 +135,18 @@
     match args.verb {
         Verb::List => list(),
         Verb::Check { scenario, show } => check(&scenario, show),
-        Verb::Run(args) => run_once(args).await,
+        Verb::Run(args) => {
+            let scenario = Scenario::load(&args.scenario).map_err(Failure::wrong)?;
+            let seed = args.seed.unwrap_or(scenario.seed);
+            run_once(&scenario, seed, args.node, args.out, args.json).await
+        }
+        Verb::Replay { dir, node, out, json } => {
+            let file = dir.join(SCENARIO).display().to_string();
+            let scenario = Scenario::load(&file).map_err(Failure::wrong)?;
+            run_once(&scenario, scenario.seed, node, out, json).await
+        }
+        Verb::Compare(args) => compare_builds(args).await,
+        Verb::Sweep(args) => sweep(args).await,
     }
 }
 
@@ -93,7 +181,7 @@
 }
 
 /// This program and the node's, which must be there.
-fn programs(node: Option<PathBuf>) -> Result<Programs, Failure> {
+pub fn programs(node: Option<PathBuf>) -> Result<Programs, Failure> {
     let shaletrail = std::env::current_exe().map_err(Failure::failed)?;
     let node = node.unwrap_or_else(|| shaletrail.with_file_name("tackstage"));
     if !node.exists() {
@@ -103,7 +191,8 @@
     Ok(Programs { shaletrail, node })
 }
 
-fn guard(programs: &Programs) -> Result<(), Failure> {
+/// From here on no child outlives this process.
+pub fn guard(programs: &Programs) -> Result<(), Failure> {
     start_guard(std::process::Command::new(&programs.shaletrail).arg("guard")).map_err(Failure::failed)
 }
 
@@ -126,18 +215,24 @@
     Ok(judge(&run))
 }
 
-fn save(out: Option<&Path>, report: &Report) -> Result<(), Failure> {
-    out.map_or(Ok(()), |out| write(out, report)).map_err(Failure::failed)
-}
-
-async fn run_once(args: Run) -> Result<(), Failure> {
-    let scenario = Scenario::load(&args.scenario).map_err(Failure::wrong)?;
-    let programs = programs(args.node)?;
+async fn run_once(
+    scenario: &Scenario,
+    seed: u64,
+    node: Option<PathBuf>,
+    out: Option<PathBuf>,
+    json: bool,
+) -> Result<(), Failure> {
+    let programs = programs(node)?;
     guard(&programs)?;
-    let seed = args.seed.unwrap_or(scenario.seed);
-    let report = once(&scenario, seed, &programs).await?;
-    save(args.out.as_deref(), &report)?;
-    if args.json {
+    let report = once(scenario, seed, &programs).await?;
+    if let Some(out) = &out {
+        write(out, &report).map_err(Failure::failed)?;
+        // What `replay` reads.
+        let scenario = Scenario { seed, ..scenario.clone() };
+        let text = toml::to_string(&scenario).map_err(Failure::failed)?;
+        std::fs::write(out.join(SCENARIO), text).map_err(Failure::failed)?;
+    }
+    if json {
         println!("{}", serde_json::to_string(&report).map_err(Failure::failed)?);
     } else {
         println!("{ROW_HEAD}\n{}", row(&report));
@@ -149,3 +244,125 @@
         Verdict::Void => Err(Failure::Void(reasons)),
     }
 }
+
+/// Runs that say nothing are played once more, then given up.
+async fn valid(scenario: &Scenario, seed: u64, programs: &Programs) -> Result<Report, Failure> {
+    for _ in 0..2 {
+        let report = once(scenario, seed, programs).await?;
+        if report.verdict != Verdict::Void {
+            return Ok(report);
+        }
+        tracing::warn!("{}: {}", scenario.name, report.reasons.join("; "));
+    }
+    Err(Failure::Void(format!("{}: the lab is too late on this machine, twice in a row", scenario.name)))
+}
+
+/// Writes a table as JSON and Markdown, and prints one of them.
+fn tell(
+    out: Option<&Path>,
+    name: &str,
+    value: &impl Serialize,
+    text: &str,
+    json: bool,
+) -> Result<(), Failure> {
+    let whole = serde_json::to_string_pretty(value).map_err(Failure::failed)?;
+    if let Some(out) = out {
+        std::fs::create_dir_all(out).map_err(Failure::failed)?;
+        std::fs::write(out.join(format!("{name}.json")), &whole).map_err(Failure::failed)?;
+        std::fs::write(out.join(format!("{name}.md")), text).map_err(Failure::failed)?;
+    }
+    print!("{}", if json { whole + "\n" } else { text.to_owned() });
+    Ok(())
+}
+
+async fn compare_builds(args: Compare) -> Result<(), Failure> {
+    if args.runs < 2 {
+        return Err(Failure::Wrong("--runs: 2 or more expected, one says nothing about a spread".into()));
+    }
+    let scenario = Scenario::load(&args.scenario).map_err(Failure::wrong)?;
+    let (a, b) = (programs(Some(args.a))?, programs(Some(args.b))?);
+    guard(&a)?;
+    let first = args.seed.unwrap_or(scenario.seed);
+    let mut pairs = Vec::new();
+    for seed in first..first + args.runs {
+        // In turn first: what the machine does meanwhile strikes both.
+        let (one, other) = if seed % 2 == 0 { (&a, &b) } else { (&b, &a) };
+        let x = valid(&scenario, seed, one).await?;
+        let y = valid(&scenario, seed, other).await?;
+        pairs.push(if seed % 2 == 0 { (x, y) } else { (y, x) });
+        tracing::info!("seed {seed} played with both");
+    }
+    let differences = compare(&pairs);
+    let mut text = format!(
+        "{}: {} runs of each, seeds {first} to {}\n\n| figure | A | B | B less A, 95% | |\n| --- | --- | --- | --- | --- |\n",
+        scenario.name,
+        args.runs,
+        first + args.runs - 1
+    );
+    for d in &differences {
+        let spread = |e: &Estimate| format!("{:.3} ({:.3} to {:.3})", e.mean, e.least, e.most);
+        let within = d.b_less_a.within.unwrap_or(f64::INFINITY);
+        let word = if d.shown { "differs" } else { "no difference shown" };
+        text += &format!(
+            "| {} | {} | {} | {:+.3} ± {within:.3} | {word} |\n",
+            d.figure,
+            spread(&d.a),
+            spread(&d.b),
+            d.b_less_a.mean
+        );
+    }
+    tell(args.out.as_deref(), "compare", &differences, &text, args.json)
+}
+
+async fn sweep(args: Sweep) -> Result<(), Failure> {
+    if args.steps < 2 || args.runs == 0 || args.to <= args.from {
+        return Err(Failure::Wrong("--steps 2 or more, --runs 1 or more, --from under --to expected".into()));
+    }
+    let base = Scenario::load(&args.scenario).map_err(Failure::wrong)?;
+    let programs = programs(args.node)?;
+    let value = |n: usize| args.from + (args.to - args.from) * n as f64 / (args.steps - 1) as f64;
+    let scenarios: Result<Vec<_>, _> =
+        (0..args.steps).map(|n| Ok((value(n), with(&base, &args.vary, value(n))?))).collect();
+    let scenarios = scenarios.map_err(|e: shaletrail_lab::scenario::ScenarioError| Failure::wrong(e))?;
+    guard(&programs)?;
+    let first = args.seed.unwrap_or(base.seed);
+    let mut steps = Vec::new();
+    for (value, scenario) in &scenarios {
+        let mut reports = Vec::new();
+        for seed in first..first + args.runs {
+            reports.push(valid(scenario, seed, &programs).await?);
+        }
+        steps.push(step(*value, &reports));
+        tracing::info!("{} = {value:.2}: goodput {:.2}", args.vary, steps[steps.len() - 1].goodput);
+    }
+    let mut text = format!(
+        "{}: {} from {} to {}, {} runs each from seed {first}\n\n\
+         | {} | offered worth/s | served worth/s | attempts a request | origin fetches a request |\n\
+         | --- | --- | --- | --- | --- |\n",
+        base.name, args.vary, args.from, args.to, args.runs, args.vary
+    );
+    for s in &steps {
+        text += &format!(
+            "| {:.2} | {:.2} | {:.2} | {:.2} | {:.3} |\n",
+            s.value, s.offered_worth_per_s, s.goodput, s.attempts_per_request, s.origin_fetches_per_request
+        );
+    }
+    text += &match cliff(&steps) {
+        None => "\nNo cliff: served worth is nowhere 20% under the highest before it.\n".to_owned(),
+        Some(at) => format!(
+            "\nA cliff: at {:.2} served worth is 20% or more under the highest before it.\n",
+            at.value
+        ),
+    };
+    if let Some(out) = &args.out {
+        std::fs::create_dir_all(out).map_err(Failure::failed)?;
+        let curve = |name: &str, read: fn(&Step) -> f64| Curve {
+            name: name.to_owned(),
+            points: steps.iter().map(|s| (s.value, read(s))).collect(),
+        };
+        let curves = [curve("served", |s| s.goodput), curve("offered", |s| s.offered_worth_per_s)];
+        let axes = (args.vary.as_str(), "worth a second");
+        plot(&out.join("sweep.svg"), "Goodput", axes, &curves, &[]).map_err(Failure::failed)?;
+    }
+    tell(args.out.as_deref(), "sweep", &steps, &text, args.json)
+}
--- a/cli/tests/service.rs
+++ b/cli/tests/service.rs
@@ -12,7 +12,6 @@
 use shaletrail_client::changes::{entry_path, ChangeError};
 use shaletrail_lab::link::Way;
 use shaletrail_lab::observer::{get, numbered, put, Observer};
-use shaletrail_lab::party::{Asked, Backend};
 use shaletrail_lab::process::{wait_for, Folder, Process};
 use shaletrail_lab::service::{free, pause, Service};
 
@@ -465,77 +464,6 @@
     }
 }
 
-/// Prints how late the last request came; the platform's rule gives 0.5 s.
-#[test]
-fn a_leaving_server_is_told_to_every_node_and_is_sent_nothing_more() {
-    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
-    let backend = Backend::default();
-    let origin = runtime.block_on(backend.origin(Duration::from_millis(1))).expect("an origin");
-    let (leaver, asked) = runtime.block_on(backend.cache()).expect("a cache server");
-    let (stayer, still) = runtime.block_on(backend.cache()).expect("a cache server");
-    let service = Service::start(program(), "leaving", 3);
-    let ops = service.ops();
-    for (id, kind, addr) in
-        [("origin", "origin", origin), ("leaver", "box", leaver), ("stayer", "box", stayer)]
-    {
-        register(&ops, id, &json!({"addr": addr.to_string(), "kind": kind, "zone": "here"}))
-            .expect("registered");
-    }
-    let discovery = service.discovery();
-    let nodes: Vec<_> = (0..6)
-        .map(|n| {
-            let mut known = discovery.clone();
-            known.rotate_left(n % 3);
-            let (process, _) = start_node(&service.folder, &format!("n{n}"), &known, &Value::Null);
-            let line = process.says(&format!("n{n} listens on "));
-            let addr: SocketAddr = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-            wait_for("a node is ready", || (once(addr, "GET", "/health/ready", b"").0 == 200).then_some(()));
-            (process, addr)
-        })
-        .collect();
-    let stop = AtomicBool::new(false);
-    let count = |asked: &Asked| asked.hits.load(Ordering::Relaxed) + asked.misses.load(Ordering::Relaxed);
-    std::thread::scope(|scope| {
-        for (n, (_, addr)) in nodes.iter().enumerate() {
-            let (stop, addr) = (&stop, *addr);
-            scope.spawn(move || {
-                for key in 0.. {
-                    if stop.load(Ordering::Relaxed) {
-                        return;
-                    }
-                    let headers = format!("X-Request-Id: {n}-{key}\r\nX-Class: read\r\nX-Tenant: acme\r\n");
-                    read(addr, &format!("/read/{}", key % 50), &headers);
-                }
-            });
-        }
-        wait_for("both servers are asked", || (count(&asked) > 50 && count(&still) > 50).then_some(()));
-        put(&ops, Method::POST, "/registry/instances/leaver/leaving", &json!({})).expect("it leaves");
-        let left = Instant::now();
-        let (mut seen, mut last) = (count(&asked), Duration::ZERO);
-        wait_for("a second without a request to it", || {
-            if count(&asked) != seen {
-                (seen, last) = (count(&asked), left.elapsed());
-            }
-            (left.elapsed() > last + Duration::from_secs(1)).then_some(())
-        });
-        let before = count(&still);
-        wait_for("the other one goes on", || (count(&still) > before + 50).then_some(()));
-        println!("its last request came {} ms after the acknowledgement", last.as_millis());
-        stop.store(true, Ordering::Relaxed);
-    });
-}
-
-/// One read through a node; its answer does not matter here.
-fn read(addr: SocketAddr, path: &str, headers: &str) {
-    use std::io::{Read, Write};
-    let Ok(mut stream) = std::net::TcpStream::connect(addr) else { return };
-    let head = format!(
-        "GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Deadline-Ms: 4000\r\n{headers}\r\n"
-    );
-    let _ = stream.write_all(head.as_bytes());
-    let _ = stream.read_to_end(&mut Vec::new());
-}
-
 #[test]
 fn a_node_is_moved_to_another_service_in_the_middle_of_a_failover() {
     let mut before = Service::start(program(), "before", 3);
--- a/lab/src/conduct.rs
+++ b/lab/src/conduct.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
@@ -19,12 +20,13 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, Instant};
 
-use crate::clients::Clients;
+use crate::clients::{Answer, Clients};
 use crate::fleet::{ready, Fleet, Node};
 use crate::judge::{Band, Run};
 use crate::net::{at, Life, Links, Way};
-use crate::parties::{lock, Book, Parties, Party};
+use crate::parties::{lock, Book, End, Parties, Party, ORIGIN};
 use crate::plan::draw;
+use crate::process::guard;
 use crate::scenario::{Fault, Scenario, What, Whom};
 
 /// The programs that are run.
@@ -55,7 +57,7 @@
     fleet: Arc<Fleet>,
     clients: Arc<Clients>,
     programs: Programs,
-    ops: Vec<std::net::SocketAddr>,
+    ops: Vec<SocketAddr>,
     agents: Mutex<BTreeMap<String, watch::Sender<Agent>>>,
     /// Draws of whom a share strikes; each fault its own, so that taking it back finds the same ones.
     seed: u64,
@@ -68,6 +70,72 @@
     now.duration_since(std::time::UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
 
+/// A fleet that stands until it is dropped, under the scenario's load.
+pub struct Standing {
+    conductor: Arc<Conductor>,
+}
+
+/// What a standing fleet did since it was last asked.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Live {
+    pub asked: usize,
+    pub served: usize,
+    pub refused: usize,
+    pub hits: usize,
+    pub misses: usize,
+    pub fetches: usize,
+}
+
+impl Standing {
+    /// Starts the fleet and its load; requests of other clients are served too.
+    ///
+    /// # Errors
+    /// Where the fleet does not start.
+    pub async fn start(scenario: &Scenario, programs: &Programs) -> io::Result<Standing> {
+        let conductor = Conductor::start(scenario, scenario.seed, programs).await?;
+        conductor.book.open.store(true, Ordering::Relaxed);
+        conductor.book.leading.store(false, Ordering::Relaxed);
+        conductor.book.begin();
+        let clients = Arc::clone(&conductor.clients);
+        tokio::spawn(async move { clients.run(|_| {}).await });
+        Ok(Standing { conductor })
+    }
+
+    /// Where nodes read the list, and where it is changed.
+    pub fn registry(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        (lock(&self.conductor.fleet.service).discovery(), self.conductor.ops.clone())
+    }
+
+    /// Each node with its clients' address and its door.
+    pub fn nodes(&self) -> Vec<(String, SocketAddr, SocketAddr)> {
+        self.conductor.fleet.nodes.iter().map(|n| (n.name.clone(), n.listen, *lock(&n.ops))).collect()
+    }
+
+    /// The cache servers and the origin.
+    pub fn servers(&self) -> Vec<(String, SocketAddr)> {
+        let mut all = self.conductor.parties.all();
+        all.push(Arc::clone(&self.conductor.parties.origin));
+        all.iter().map(|party| (party.id.clone(), party.addrs[party.zone])).collect()
+    }
+
+    /// Figures since the last call.
+    pub fn live(&self) -> Live {
+        let tries = std::mem::take(&mut *lock(&self.conductor.clients.tries));
+        let seen = std::mem::take(&mut *lock(&self.conductor.book.seen));
+        lock(&self.conductor.fleet.views.told).clear();
+        let ends = |end: End| seen.iter().filter(|seen| seen.end == end && !seen.write).count();
+        let answers = |answer: Answer| tries.iter().filter(|one| one.answer == answer).count();
+        Live {
+            asked: tries.len(),
+            served: answers(Answer::Served),
+            refused: answers(Answer::Refused),
+            hits: ends(End::Hit),
+            misses: ends(End::Miss),
+            fetches: seen.iter().filter(|seen| seen.server == ORIGIN).count(),
+        }
+    }
+}
+
 /// Plays it once. `progress` is told the time of the run, in seconds, now and then.
 ///
 /// # Errors
@@ -79,38 +147,11 @@
     progress: impl FnMut(f64),
 ) -> io::Result<Run> {
     scenario.seed = seed;
-    let link = &scenario.link;
-    let way = |delay_ms| Way { delay_ms, jitter_ms: link.jitter_ms, ..Way::default() };
-    let same = Way { jitter_ms: 0.0, ..way(link.same_ms) };
-    let links = Links::new(scenario.fleet.zones.len(), same, way(link.cross_ms));
-    let plan = draw(&scenario, seed);
-    // The start is put off until the fleet is ready; everything reads the time from it.
-    let boot = Arc::new(Book::new(scenario.clone(), plan));
-    let parties = Parties::new(Arc::clone(&boot), links, seed);
-    let fleet = Arc::new(Fleet::start(&boot, &parties, &programs.shaletrail, &programs.node).await?);
-    let clients = Clients::new(Arc::clone(&boot), fleet.nodes.clone(), seed);
-    let ops = lock(&fleet.service).ops();
-    let conductor = Arc::new(Conductor {
-        book: Arc::clone(&boot),
-        parties: Arc::clone(&parties),
-        fleet: Arc::clone(&fleet),
-        clients: Arc::clone(&clients),
-        programs: programs.clone(),
-        ops,
-        agents: Mutex::default(),
-        seed,
-    });
-    parties.open(&parties.origin);
-    conductor.list(&parties.origin);
-    for n in 0..scenario.fleet.servers {
-        let party = parties.add(format!("cache-{n}"), n, 0, true);
-        conductor.list(&party);
-    }
-    conductor.wait_for_list(scenario.fleet.servers + 1).await?;
-    fleet.start_nodes().await?;
-    let begin = boot.begin();
+    let conductor = Conductor::start(&scenario, seed, programs).await?;
+    let Conductor { book, parties, fleet, clients, .. } = &*conductor;
+    let begin = book.begin();
     let lead = {
-        let (book, lead) = (Arc::clone(&boot), scenario.lead_s);
+        let (book, lead) = (Arc::clone(book), scenario.lead_s);
         tokio::spawn(async move {
             sleep_until(at(begin, lead)).await;
             book.leading.store(false, Ordering::Relaxed);
@@ -132,7 +173,7 @@
             Err(e) => return Err(io::Error::other(e)),
         }
     }
-    Ok(collect(&boot, &parties, &fleet, &clients, bands, seed))
+    Ok(collect(book, parties, fleet, clients, bands, seed))
 }
 
 fn collect(
@@ -168,6 +209,40 @@
 }
 
 impl Conductor {
+    /// Starts all parties and processes, and waits until every node is ready.
+    async fn start(scenario: &Scenario, seed: u64, programs: &Programs) -> io::Result<Arc<Conductor>> {
+        let link = &scenario.link;
+        let way = |delay_ms| Way { delay_ms, jitter_ms: link.jitter_ms, ..Way::default() };
+        let same = Way { jitter_ms: 0.0, ..way(link.same_ms) };
+        let links = Links::new(scenario.fleet.zones.len(), same, way(link.cross_ms));
+        let plan = draw(scenario, seed);
+        // The run begins when the fleet is ready; everything reads the time from then on.
+        let book = Arc::new(Book::new(scenario.clone(), plan));
+        let parties = Parties::new(Arc::clone(&book), links, seed);
+        let fleet = Arc::new(Fleet::start(&book, &parties, &programs.shaletrail, &programs.node).await?);
+        let clients = Clients::new(Arc::clone(&book), fleet.nodes.clone(), seed);
+        let ops = lock(&fleet.service).ops();
+        let conductor = Arc::new(Conductor {
+            book: Arc::clone(&book),
+            parties: Arc::clone(&parties),
+            fleet: Arc::clone(&fleet),
+            clients: Arc::clone(&clients),
+            programs: programs.clone(),
+            ops,
+            agents: Mutex::default(),
+            seed,
+        });
+        parties.open(&parties.origin);
+        conductor.list(&parties.origin);
+        for n in 0..scenario.fleet.servers {
+            let party = parties.add(format!("cache-{n}"), n, 0, true);
+            conductor.list(&party);
+        }
+        conductor.wait_for_list(scenario.fleet.servers + 1).await?;
+        fleet.start_nodes().await?;
+        Ok(conductor)
+    }
+
     // ---- Agents ------------------------------------------------------------------------------------------
 
     /// Starts a party's agent.
@@ -201,7 +276,11 @@
                     }
                     let _ = agent.wait().await;
                 }
+                let id = agent.id();
                 let _ = agent.kill().await;
+                if let Some(id) = id {
+                    guard('-', id);
+                }
             });
             return;
         }
@@ -233,7 +312,11 @@
         command.args(["--lease-s", &spec.fleet.lease_s.to_string()]);
         command.args(["--drain-s", &spec.servers.drain_s.to_string()]);
         command.stdin(std::process::Stdio::null()).stderr(std::process::Stdio::null());
-        command.kill_on_drop(true).spawn()
+        let agent = command.kill_on_drop(true).spawn()?;
+        if let Some(id) = agent.id() {
+            guard('+', id);
+        }
+        Ok(agent)
     }
 
     fn tell_agent(&self, id: &str, what: Agent) {
@@ -328,6 +411,10 @@
             let pause = fault.for_s.unwrap_or(0.0) / self.fleet.nodes.len() as f64;
             for node in &self.fleet.nodes {
                 let next = Instant::now() + Duration::from_secs_f64(pause);
+                // One that stands still would not end; its turn comes when it goes on.
+                while lock(&node.away).last().is_some_and(|(_, back)| back.is_infinite()) {
+                    sleep(Duration::from_millis(50)).await;
+                }
                 self.fleet.upgrade(node).await?;
                 sleep_until(next).await;
             }
@@ -355,8 +442,11 @@
             What::SlowServers { whom, times } => {
                 self.servers(whom, n).iter().for_each(|party| self.parties.slow(party, *times));
             }
-            What::ServerErrors { whom, share } => {
-                self.servers(whom, n).iter().for_each(|party| party.set_errors(*share));
+            What::ServerErrors { whom, share, class } => {
+                let classes = &self.book.scenario.classes;
+                let class = class.as_ref().and_then(|name| classes.iter().position(|c| c.name == *name));
+                let class = class.map(|n| n as u8);
+                self.servers(whom, n).iter().for_each(|party| party.set_errors(*share, class));
             }
             What::ColdServers { whom } => {
                 for party in self.servers(whom, n) {
@@ -435,7 +525,7 @@
             }
             What::ServerErrors { whom, .. } => {
                 let usual = self.book.scenario.servers.errors;
-                self.servers(whom, n).iter().for_each(|party| party.set_errors(usual));
+                self.servers(whom, n).iter().for_each(|party| party.set_errors(usual, None));
             }
             What::DisableServers { whom } => self.by_hand(whom, n, "enable").await,
             What::SlowOrigin { .. } => self.parties.slow(&self.parties.origin, 1.0),
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -105,6 +105,8 @@
     /// As BRIEF counts it: 35% the whole run, 15% the worst 10 s, 40% the worst class, 10% the worst member.
     pub served_worth: f64,
     pub whole: f64,
+    /// Worth asked for in a second, of which `whole` was served.
+    pub worth_asked_per_s: f64,
     pub worst_window: f64,
     pub by_class: BTreeMap<String, f64>,
     pub by_tenant: BTreeMap<String, f64>,
@@ -396,6 +398,7 @@
         reasons: Vec::new(),
         served_worth,
         whole: whole.share(),
+        worth_asked_per_s: whole.asked / scenario.seconds,
         worst_window,
         by_class: classes.iter().enumerate().map(|(n, worth)| (name(n), worth.share())).collect(),
         by_tenant: scenario.tenants.iter().zip(&tenants).map(|(t, w)| (t.name.clone(), w.share())).collect(),
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod checker;
 pub mod clients;
 pub mod conduct;
+pub mod experiment;
 pub mod fleet;
 pub mod judge;
 pub mod link;
--- a/lab/src/parties.rs
+++ b/lab/src/parties.rs
@@ -91,6 +91,8 @@
     pub foreign: AtomicUsize,
     /// While caches fill.
     pub leading: AtomicBool,
+    /// Whether others than the lab's clients may send requests.
+    pub open: AtomicBool,
 }
 
 impl Book {
@@ -104,6 +106,7 @@
             falls: Mutex::default(),
             foreign: AtomicUsize::new(0),
             leading: AtomicBool::new(true),
+            open: AtomicBool::new(false),
         }
     }
 
@@ -126,8 +129,21 @@
         lock(&self.tries).insert(id, request);
     }
 
-    pub fn request(&self, id: u64) -> Option<u32> {
-        lock(&self.tries).get(&id).copied()
+    /// What the request with this id asks; of one that the lab did not send, by its path, where that is allowed.
+    fn asked(&self, id: u64, path: &str) -> Option<Asked> {
+        if let Some(request) = lock(&self.tries).get(&id) {
+            return self.plan.get(*request as usize).cloned();
+        }
+        if !self.open.load(Ordering::Relaxed) {
+            return None;
+        }
+        let class =
+            path.split('/').nth(1).and_then(|name| self.scenario.classes.iter().position(|c| c.name == name));
+        let class = class.unwrap_or(0);
+        let key = path.bytes().fold(0_u32, |hash, byte| hash.wrapping_mul(31).wrapping_add(u32::from(byte)));
+        let work_s = self.scenario.classes[class].work_ms / 1e3;
+        let (at_s, class, hint_us) = (self.now(), class as u8, 0);
+        Some(Asked { at_s, zone: 0, class, tenant: 0, key, work_s, hint_us, over_share: false })
     }
 }
 
@@ -192,8 +208,8 @@
     changed: Notify,
     waiting: Mutex<HashMap<u64, oneshot::Sender<()>>>,
     store: Mutex<Store>,
-    /// Share of reads answered with 500.
-    errors: Mutex<f64>,
+    /// Share of reads answered with 500, of all classes or of one.
+    errors: Mutex<(f64, Option<u8>)>,
     connections: AtomicUsize,
     /// Load report and when it was made.
     report: Mutex<(f64, String)>,
@@ -311,7 +327,7 @@
             changed: Notify::new(),
             waiting: Mutex::default(),
             store: Mutex::new(store),
-            errors: Mutex::new(scenario.servers.errors),
+            errors: Mutex::new((scenario.servers.errors, None)),
             connections: AtomicUsize::new(0),
             report: Mutex::new((f64::NEG_INFINITY, String::new())),
             next_job: Mutex::new(0),
@@ -413,8 +429,8 @@
         }
         let header = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
         let Some(id) = header("x-request-id") else { return reply(StatusCode::NOT_FOUND, "") };
-        let known = u64::from_str_radix(id, 16).ok().and_then(|id| Some((id, self.book.request(id)?)));
-        let Some((id, number)) = known else {
+        let known = u64::from_str_radix(id, 16).ok().and_then(|id| Some((id, self.book.asked(id, &path)?)));
+        let Some((id, asked)) = known else {
             self.book.foreign.fetch_add(1, Ordering::Relaxed);
             return reply(StatusCode::BAD_REQUEST, "no client sent this id");
         };
@@ -425,7 +441,7 @@
         if write && Limited::new(request.into_body(), LONGEST_BODY).collect().await.is_err() {
             return reply(StatusCode::BAD_REQUEST, "a body of at most 64 KiB expected");
         }
-        let asked = &self.book.plan[number as usize];
+        let asked = &asked;
         let (at_s, server, zone) = (self.book.now(), party.number, connection.zone);
         let cold = !lock(&party.machine).is_warm();
         let seen = Seen { at_s, server, id, zone, write, cold, end: End::TurnedAway };
@@ -439,7 +455,7 @@
             (End::Served, self.book.scenario.origin.takes_ms / 1e3 * asked.work_s / self.mean_work(asked))
         } else if write {
             (End::Miss, spec.miss_ms / 1e3)
-        } else if self.dice.roll() < *lock(&party.errors) {
+        } else if party.errs(asked.class, self.dice.roll()) {
             (End::Error, spec.miss_ms / 1e3)
         } else if lock(&party.store).touch(key) {
             (End::Hit, asked.work_s)
@@ -638,8 +654,13 @@
 
 impl Party {
     /// Sets the share of reads that it answers with 500.
-    pub fn set_errors(&self, share: f64) {
-        *lock(&self.errors) = share;
+    pub fn set_errors(&self, share: f64, class: Option<u8>) {
+        *lock(&self.errors) = (share, class);
+    }
+
+    fn errs(&self, class: u8, roll: f64) -> bool {
+        let (share, only) = *lock(&self.errors);
+        only.is_none_or(|only| only == class) && roll < share
     }
 }
 
--- a/lab/src/party.rs
+++ b/lab/src/party.rs
@@ -1,17 +1,15 @@
-//! Emulated parties by the platform's protocol, in this process: cache servers, the origin, and a plain list.
+//! A server of ours on loopback, and a plain list: what the list service is measured against.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -23,10 +21,6 @@
 
 type Reply = Response<Full<Bytes>>;
 
-/// Values that one cache server keeps; the one stored first goes first.
-const MOST_VALUES: usize = 100_000;
-/// Reads that the origin remembers to have missed at caches, until it has answered them.
-const MOST_MISSES: usize = 10_000;
 const LONGEST_BODY: usize = 64 << 10;
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -71,106 +65,6 @@
     reply
 }
 
-fn with_cache(mut reply: Reply, word: &'static str) -> Reply {
-    reply.headers_mut().insert("x-cache", HeaderValue::from_static(word));
-    reply
-}
-
-// ---- Cache servers and origin -------------------------------------------------------------------------
-
-/// What an emulated server was asked, in numbers.
-#[derive(Default)]
-pub struct Asked {
-    pub hits: AtomicU64,
-    pub misses: AtomicU64,
-}
-
-type Store = Arc<Mutex<HashSet<String>>>;
-
-/// The origin and the cache servers before it. A value that the origin has answered is stored at the caches that
-/// missed for the same request, as the protocol has it.
-#[derive(Clone, Default)]
-pub struct Backend {
-    /// By request id: where it missed.
-    missed: Arc<Mutex<HashMap<String, Vec<Store>>>>,
-    stores: Arc<Mutex<Vec<Store>>>,
-    pub fetched: Arc<AtomicU64>,
-}
-
-impl Backend {
-    /// One more cache server, empty.
-    ///
-    /// # Errors
-    /// Where no port is free.
-    pub async fn cache(&self) -> std::io::Result<(SocketAddr, Arc<Asked>)> {
-        let (backend, asked, store) = (self.clone(), Arc::new(Asked::default()), Store::default());
-        lock(&self.stores).push(Arc::clone(&store));
-        let counts = Arc::clone(&asked);
-        let addr = serve(move |request| {
-            let reply = backend.read_cached(&request, &store, &counts);
-            async move { reply }
-        });
-        Ok((addr.await?, asked))
-    }
-
-    fn read_cached(&self, request: &Request<Incoming>, store: &Store, asked: &Asked) -> Reply {
-        let Some(id) = request.headers().get("x-request-id").and_then(|id| id.to_str().ok()) else {
-            return reply(StatusCode::NOT_FOUND, "");
-        };
-        let key = request.uri().path();
-        if lock(store).contains(key) {
-            asked.hits.fetch_add(1, Ordering::Relaxed);
-            return with_cache(reply(StatusCode::OK, value(key)), "hit");
-        }
-        asked.misses.fetch_add(1, Ordering::Relaxed);
-        let mut missed = lock(&self.missed);
-        if missed.len() < MOST_MISSES {
-            missed.entry(id.to_owned()).or_default().push(Arc::clone(store));
-        }
-        with_cache(reply(StatusCode::NOT_FOUND, ""), "miss")
-    }
-
-    /// The origin, which takes so long for each request.
-    ///
-    /// # Errors
-    /// Where no port is free.
-    pub async fn origin(&self, takes: Duration) -> std::io::Result<SocketAddr> {
-        let backend = self.clone();
-        serve(move |request| {
-            let backend = backend.clone();
-            async move {
-                sleep(takes).await;
-                backend.fetch(&request)
-            }
-        })
-        .await
-    }
-
-    fn fetch(&self, request: &Request<Incoming>) -> Reply {
-        let key = request.uri().path().to_owned();
-        self.fetched.fetch_add(1, Ordering::Relaxed);
-        if request.method() == Method::PUT {
-            for store in lock(&self.stores).iter() {
-                lock(store).remove(&key);
-            }
-            return reply(StatusCode::OK, "stored");
-        }
-        let id = request.headers().get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default();
-        for store in lock(&self.missed).remove(id).unwrap_or_default() {
-            let mut store = lock(&store);
-            if store.len() >= MOST_VALUES {
-                store.clear();
-            }
-            store.insert(key.clone());
-        }
-        reply(StatusCode::OK, value(&key))
-    }
-}
-
-fn value(key: &str) -> String {
-    format!("the value of {key}")
-}
-
 // ---- A plain list -------------------------------------------------------------------------------------
 
 /// A list in memory, without log, replicas, leases or checks: what a registry costs is told against it.
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -25,8 +25,8 @@
 
 /// Keys from here on are those of flash crowds.
 const CROWD_KEYS: u32 = 1 << 24;
-/// What a tenant may send is this part of what its share of the load is on average.
-const QUOTA_SLACK: f64 = 1.6;
+/// All tenants' quotas together, of what the cores can do.
+const QUOTA_OF_CAPACITY: f64 = 0.87;
 
 /// Draws numbers with given weights.
 struct Weighted(Vec<f64>);
@@ -50,7 +50,7 @@
 
 /// A tenant's quota of first tries a second, over all nodes.
 pub fn quota(scenario: &Scenario, tenant: usize) -> f64 {
-    scenario.per_s() * scenario.tenants[tenant].share * QUOTA_SLACK
+    scenario.capacity() * scenario.tenants[tenant].share * QUOTA_OF_CAPACITY
 }
 
 /// By how much the load is multiplied at a time of the judged part.
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -47,7 +47,8 @@
     Ok(())
 }
 
-fn guard(sign: char, id: u32) {
+/// Tells the guard of a process that has started (`+`) or ended (`-`).
+pub(crate) fn guard(sign: char, id: u32) {
     if let Some(guard) = GUARD.get() {
         let _ = writeln!(guard.lock().unwrap_or_else(PoisonError::into_inner), "{sign}{id}");
     }
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -341,6 +341,9 @@
     ServerErrors {
         whom: Whom,
         share: f64,
+        /// Of this class only.
+        #[serde(default)]
+        class: Option<String>,
     },
     /// They restart at once, empty and cold.
     ColdServers {
@@ -478,6 +481,12 @@
 #[derive(Debug)]
 pub struct ScenarioError(String);
 
+impl ScenarioError {
+    pub(crate) fn new(what: String) -> Self {
+        ScenarioError(what)
+    }
+}
+
 impl fmt::Display for ScenarioError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
@@ -492,6 +501,7 @@
     include_str!("../scenarios/overload.toml"),
     include_str!("../scenarios/flash-crowd.toml"),
     include_str!("../scenarios/rolling-replacement.toml"),
+    include_str!("../scenarios/drain.toml"),
     include_str!("../scenarios/zone-lost.toml"),
     include_str!("../scenarios/zone-slow.toml"),
     include_str!("../scenarios/zone-cut.toml"),
@@ -502,6 +512,7 @@
     include_str!("../scenarios/retry-storm.toml"),
     include_str!("../scenarios/bad-servers.toml"),
     include_str!("../scenarios/bad-server.toml"),
+    include_str!("../scenarios/class-fails.toml"),
     include_str!("../scenarios/mass-restart.toml"),
     include_str!("../scenarios/scale.toml"),
 ];
@@ -611,6 +622,12 @@
             Whom::All | Whom::Share(_) | Whom::Count(_) => Ok(()),
         };
         match what {
+            What::ServerErrors { class: Some(name), .. }
+                if !self.classes.iter().any(|class| class.name == *name) =>
+            {
+                let names: Vec<&str> = self.classes.iter().map(|class| class.name.as_str()).collect();
+                Err(format!("class `{name}`: one of {} expected", names.join(", ")))
+            }
             What::KillServers { whom: w }
             | What::SilenceServers { whom: w }
             | What::PauseServers { whom: w }
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -18,9 +18,9 @@
 /// When no port is free.
 pub fn free() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = std::process::id() as u16 % 1000 * 20;
+    let start = (std::process::id() % 1_000 * 1_009 % 20_000) as u16;
     for _ in 0..20_000 {
-        let port = 10_000 + (start + NEXT.fetch_add(1, Ordering::Relaxed)) % 20_000;
+        let port = 10_000 + start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % 20_000;
         let addr = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(addr).is_ok() {
             return addr;
