Tidy the registry: reads take the read lock, lookups copy no names

Need: looks of the list took the write lock, each look at a lease copied the entry's name, and the catalogue could be written out in a second form that nothing reads.

--- a/cli/tests/service.rs
+++ b/cli/tests/service.rs
@@ -46,20 +46,21 @@
 enum Damage {
     CutTo(fn(u64) -> u64),
     Flip(fn(u64) -> u64),
+    /// A bit of an entry's record, wherever it stands in the log.
+    FlipEntry,
 }
 
-fn damage(file: &Path, how: &Damage) {
-    let file = std::fs::File::options().read(true).write(true).open(file).expect("the file");
+fn damage(path: &Path, how: &Damage) {
+    let file = std::fs::File::options().read(true).write(true).open(path).expect("the file");
     let length = file.metadata().expect("its length").len();
-    match how {
-        Damage::CutTo(to) => file.set_len(to(length)).expect("cut"),
-        Damage::Flip(at) => {
-            let mut byte = [0];
-            file.read_exact_at(&mut byte, at(length)).expect("read");
-            byte[0] ^= 0x10;
-            file.write_all_at(&byte, at(length)).expect("written");
-        }
-    }
+    let at = match how {
+        Damage::CutTo(to) => return file.set_len(to(length)).expect("cut"),
+        Damage::Flip(at) => at(length),
+        Damage::FlipEntry => record(path) + 3,
+    };
+    let mut byte = [0];
+    file.read_exact_at(&mut byte, at).expect("read");
+    file.write_all_at(&[byte[0] ^ 0x10], at).expect("written");
 }
 
 /// Where an entry's record stands in the log: past the file's own pages.
@@ -80,7 +81,7 @@
         ("log.redb", Damage::CutTo(|n| n / 2)),
         ("log.redb", Damage::CutTo(|_| 0)),
         ("log.redb", Damage::CutTo(|n| n - 1)),
-        ("log.redb", Damage::Flip(|_| u64::MAX)),
+        ("log.redb", Damage::FlipEntry),
         ("log.mark", Damage::Flip(|_| 12)),
         ("replica", Damage::CutTo(|n| n - 1)),
     ];
@@ -97,21 +98,7 @@
         });
         service.kill(victim);
         let file = service.places[victim].data.join(name);
-        let how = match how {
-            // The bit of an entry, wherever it stands.
-            Damage::Flip(at) if at(0) == u64::MAX => {
-                let at = record(&file);
-                let file = std::fs::File::options().read(true).write(true).open(&file).expect("the log");
-                let mut byte = [0];
-                file.read_exact_at(&mut byte, at + 3).expect("read");
-                file.write_all_at(&[byte[0] ^ 0x10], at + 3).expect("written");
-                None
-            }
-            how => Some(how),
-        };
-        if let Some(how) = &how {
-            damage(&file, how);
-        }
+        damage(&file, &how);
         add(&ops, "while:away?", round as u64 + 1);
         service.launch(victim);
         service.ready(victim);
--- a/lab/src/parties.rs
+++ b/lab/src/parties.rs
@@ -563,6 +563,8 @@
                         lock(&party.store).put(key);
                     }
                 }
+                // It keeps nothing: as the platform's does, it says miss to all.
+                answer = Some((StatusCode::OK, "miss"));
             }
             (_, End::Miss) => {
                 let pending = !seen.write && lock(&party.store).misses(key, seen.at_s);
--- a/registry/src/catalogue.rs
+++ b/registry/src/catalogue.rs
@@ -1,7 +1,7 @@
 //! The pure core: the list, changed by commands in the log's order. The same commands give the same list and the
 //! same versions everywhere. No clock, no randomness, no input or output.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -84,7 +84,7 @@
 
 /// The list with its versions. Its invariants: a version names one state; it never falls; applying the changes
 /// since any version from the floor on gives the whole list.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalogue {
     version: u64,
     /// Changes since older versions are not known whole.
@@ -92,7 +92,7 @@
     /// Entries and those that have left.
     held: HashMap<String, Held>,
     /// By the version of their last change; several may have changed together.
-    order: BTreeMap<(u64, String), ()>,
+    order: BTreeSet<(u64, String)>,
     left: usize,
     replicas: u64,
 }
@@ -218,7 +218,7 @@
 
     fn put(&mut self, held: Held) {
         let id = held.entry.id.clone();
-        self.order.insert((held.version, id.clone()), ());
+        self.order.insert((held.version, id.clone()));
         self.left += usize::from(held.entry.state == State::Left);
         if let Some(old) = self.held.insert(id, held) {
             self.left -= usize::from(old.entry.state == State::Left);
@@ -232,7 +232,7 @@
     /// Drops the older half of those that have left, and with them the versions that told of them.
     fn forget(&mut self) {
         let left = |(_, id): &&(u64, String)| self.held[id].entry.state == State::Left;
-        let gone: Vec<_> = self.order.keys().filter(left).take(self.left / 2).cloned().collect();
+        let gone: Vec<_> = self.order.iter().filter(left).take(self.left / 2).cloned().collect();
         for key in gone {
             self.floor = self.floor.max(key.0);
             self.held.remove(&key.1);
@@ -258,12 +258,12 @@
             return Some(self.whole());
         }
         let changed = self.order.range((from + 1, String::new())..);
-        let servers = changed.map(|((_, id), ())| self.held[id].entry.clone()).collect();
+        let servers = changed.map(|(_, id)| self.held[id].entry.clone()).collect();
         Some(List { version: self.version, full: false, servers })
     }
 
     pub fn keep(&self) -> Kept {
-        let held = self.order.keys().map(|(_, id)| self.held[id].clone()).collect();
+        let held = self.order.iter().map(|(_, id)| self.held[id].clone()).collect();
         Kept { version: self.version, floor: self.floor, replicas: self.replicas, held }
     }
 
@@ -285,7 +285,7 @@
         self.version = version.max(self.version + 1);
         self.floor = self.version;
         self.held.retain(|_, held| held.entry.state != State::Left);
-        self.order.retain(|(_, id), ()| self.held.contains_key(id));
+        self.order.retain(|(_, id)| self.held.contains_key(id));
         self.left = 0;
         self.replicas = 1;
         self
--- a/registry/src/leases.rs
+++ b/registry/src/leases.rs
@@ -126,11 +126,12 @@
     fn last_sign(&mut self, held: &Held, now: Time) -> Time {
         let version = held.version;
         // Not seen before, or changed since: a sign of life now.
-        let first = || Lease { renewed: now, version };
-        let lease = self.leases.entry(held.entry.id.clone()).or_insert_with(first);
-        if lease.version != version {
-            *lease = first();
+        let first = Lease { renewed: now, version };
+        match self.leases.get_mut(&held.entry.id) {
+            Some(lease) if lease.version == version => return lease.renewed,
+            Some(lease) => *lease = first,
+            None => _ = self.leases.insert(held.entry.id.clone(), first),
         }
-        lease.renewed
+        now
     }
 }
--- a/registry/src/machine.rs
+++ b/registry/src/machine.rs
@@ -55,7 +55,11 @@
 impl View {
     /// Runs a look at the list as it is between two commands.
     pub fn look<T>(&self, look: impl FnOnce(&Catalogue) -> T) -> T {
-        look(&self.now.read().unwrap_or_else(std::sync::PoisonError::into_inner).catalogue)
+        self.read(|now| look(&now.catalogue))
+    }
+
+    fn read<T>(&self, read: impl FnOnce(&Now) -> T) -> T {
+        read(&self.now.read().unwrap_or_else(std::sync::PoisonError::into_inner))
     }
 
     pub fn version(&self) -> u64 {
@@ -68,8 +72,7 @@
 
     /// Up to which entry the log has been applied.
     pub fn applied(&self) -> u64 {
-        let now = self.now.read().unwrap_or_else(std::sync::PoisonError::into_inner);
-        now.applied.map_or(0, |id| id.index)
+        self.read(|now| now.applied.map_or(0, |id| id.index))
     }
 
     /// The answer to a call for the whole list or for changes; `None` where the list has not got so far.
@@ -180,7 +183,7 @@
     type SnapshotBuilder = Builder;
 
     async fn applied_state(&mut self) -> Result<(Option<LogId>, StoredMembership), StorageError> {
-        Ok(self.view.change(|now| (now.applied, now.membership.clone())))
+        Ok(self.view.read(|now| (now.applied, now.membership.clone())))
     }
 
     async fn apply<I>(&mut self, entries: I) -> Result<Vec<Outcome>, StorageError>
@@ -207,7 +210,7 @@
     }
 
     async fn get_snapshot_builder(&mut self) -> Builder {
-        let whole = self.view.change(|now| {
+        let whole = self.view.read(|now| {
             let last = now.applied.map_or(0, |id| id.index);
             let meta = SnapshotMeta {
                 last_log_id: now.applied,
