Send what a cache server goes on failing to the origin, outside the node's own budget

Change: in aside mode, after an error of a server that goes on failing the class, the origin is next, as after a miss; its limit bounds what goes there. A budget that the settings state still counts it. A server's first error goes as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -285,6 +285,8 @@
     attempts: Vec<Attempt>,
     /// A cache server lacked its key; the origin is next (aside mode).
     missed: bool,
+    /// Its last cache server goes on failing its class: the next attempt is free of the node's own budget.
+    excused: bool,
     /// Its body is on the way, and its time does not run yet.
     coming: bool,
     /// Its body can't be sent again.
@@ -298,9 +300,9 @@
         self.attempts.iter().filter(|a| a.status.is_none()).count()
     }
 
-    /// The next attempt counts against the budget: all do but the first and one after each `Absent`.
+    /// The next attempt counts against the budget: not the first, nor one after `Absent`, nor an excused one.
     fn costs_budget(&self) -> bool {
-        self.attempts.last().is_some_and(|a| a.status != Some(Status::Absent))
+        !self.excused && self.attempts.last().is_some_and(|a| a.status != Some(Status::Absent))
     }
 }
 
@@ -968,7 +970,15 @@
         }
         // The last attempt goes to the origin, which has every key (aside mode).
         let last = r.attempts.len() + 1 >= self.settings.limits.max_attempts as usize;
-        r.missed |= last || outcome.status == Status::Absent;
+        // A server that goes on failing a class has its keys at the origin, as after a miss. That one's limit
+        // bounds what goes there; a budget that the settings don't state would refuse what it can serve.
+        let server = r.attempts.last().and_then(|a| self.servers.get(&a.server));
+        r.excused = outcome.status == Status::Error
+            && !to_origin
+            && self.settings.cache != CacheMode::Through
+            && self.settings.guarantees.budget.is_none()
+            && server.is_some_and(|s| s.loses(r.class, self.now));
+        r.missed |= last || r.excused || outcome.status == Status::Absent;
         match outcome.status {
             Status::Absent => self.place(id),
             Status::Void => self.end(id),
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -809,6 +809,29 @@
     assert_eq!(node.home(5_000, keys[3]), id(1), "all have lost it: keys stay at home");
 }
 
+/// Where a whole class failed at all caches, repeats ran into the node's own budget, and a tenth was refused while the
+/// origin had room.
+#[test]
+fn where_a_cache_server_goes_on_failing_the_origin_is_next_and_only_a_stated_budget_counts_it() {
+    for stated in [false, true] {
+        let mut aside = Settings { cache: CacheMode::Aside { origin_kind: "origin".into() }, ..settings() };
+        aside.guarantees.budget = stated.then_some(Budget { span: 10.0, free: 5.0, ratio: 0.1 });
+        let mut entries = fleet(6);
+        entries.push(origin());
+        let mut node = Node::with(aside, 1, entries);
+        let mut served = 0;
+        for n in 0..100 {
+            node.request(read(2_000 + n, n));
+            let next = sent(&node.outcome(2_000 + n, Status::Error, None));
+            served += usize::from(next == [origin().server]);
+            node.serve(2_000 + n);
+            node.pass(0.005);
+        }
+        // Each server's first error may be chance.
+        assert_eq!(served > 60, !stated, "{served}");
+    }
+}
+
 /// Attempts called off as their clients had left passed for answers, and hid that a server was silent.
 #[test]
 fn an_attempt_that_is_called_off_is_no_sign_of_life() {
