--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -1,6 +1,5 @@
 //! `shaletrail bench …`
 
-use std::io::IsTerminal;
 use std::time::Duration;
 
 use clap::Subcommand;
@@ -62,8 +61,8 @@
         churn_s: args.churn_s,
     };
     let program = std::env::current_exe().map_err(Failure::failed)?;
-    let bar =
-        if std::io::stderr().is_terminal() { ProgressBar::new_spinner() } else { ProgressBar::hidden() };
+    // Hidden where standard error is no terminal.
+    let bar = ProgressBar::new_spinner();
     bar.enable_steady_tick(Duration::from_millis(500));
     let say = |what: &str| {
         if bar.is_hidden() {
--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -1,6 +1,5 @@
 //! `shaletrail lab …`
 
-use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -43,15 +42,8 @@
     Replay {
         /// The folder that `--out` named
         dir: PathBuf,
-        /// The node's program; the one beside this program without it
-        #[arg(long)]
-        node: Option<PathBuf>,
-        /// Folder for this run's report
-        #[arg(long)]
-        out: Option<PathBuf>,
-        /// The report as JSON on standard output
-        #[arg(long)]
-        json: bool,
+        #[command(flatten)]
+        told: Told,
     },
     /// Set two builds of the node side by side: runs in turn, each seed with both
     Compare(Compare),
@@ -59,6 +51,20 @@
     Sweep(Sweep),
 }
 
+/// With which node, and where the report goes.
+#[derive(clap::Args)]
+struct Told {
+    /// The node's program; the one beside this program without it
+    #[arg(long)]
+    node: Option<PathBuf>,
+    /// Folder for what the run was judged to be, and the plots
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// JSON on standard output
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(clap::Args)]
 struct Compare {
     /// A file, or a name of the catalogue
@@ -102,15 +108,8 @@
     runs: u64,
     #[arg(long)]
     seed: Option<u64>,
-    /// The node's program; the one beside this program without it
-    #[arg(long)]
-    node: Option<PathBuf>,
-    /// Folder for sweep.json, sweep.md and the plot
-    #[arg(long)]
-    out: Option<PathBuf>,
-    /// JSON on standard output
-    #[arg(long)]
-    json: bool,
+    #[command(flatten)]
+    told: Told,
 }
 
 #[derive(clap::Args)]
@@ -120,15 +119,8 @@
     /// Draws everything by chance; the scenario's own without it
     #[arg(long)]
     seed: Option<u64>,
-    /// Folder for report.json, report.md and the plots
-    #[arg(long)]
-    out: Option<PathBuf>,
-    /// The node's program; the one beside this program without it
-    #[arg(long)]
-    node: Option<PathBuf>,
-    /// The report as JSON on standard output
-    #[arg(long)]
-    json: bool,
+    #[command(flatten)]
+    told: Told,
 }
 
 pub async fn run(args: Args) -> Result<(), Failure> {
@@ -138,12 +130,12 @@
         Verb::Run(args) => {
             let scenario = Scenario::load(&args.scenario).map_err(Failure::wrong)?;
             let seed = args.seed.unwrap_or(scenario.seed);
-            run_once(&scenario, seed, args.node, args.out, args.json).await
+            run_once(&scenario, seed, args.told).await
         }
-        Verb::Replay { dir, node, out, json } => {
+        Verb::Replay { dir, told } => {
             let file = dir.join(SCENARIO).display().to_string();
             let scenario = Scenario::load(&file).map_err(Failure::wrong)?;
-            run_once(&scenario, scenario.seed, node, out, json).await
+            run_once(&scenario, scenario.seed, told).await
         }
         Verb::Compare(args) => compare_builds(args).await,
         Verb::Sweep(args) => sweep(args).await,
@@ -199,8 +191,8 @@
 /// Plays a scenario once, with a bar on a terminal.
 async fn once(scenario: &Scenario, seed: u64, programs: &Programs) -> Result<Report, Failure> {
     let length = scenario.seconds + scenario.lead_s;
-    let bar =
-        if std::io::stderr().is_terminal() { ProgressBar::new(length as u64) } else { ProgressBar::hidden() };
+    // Hidden where standard error is no terminal.
+    let bar = ProgressBar::new(length as u64);
     if let Ok(style) = ProgressStyle::with_template("{msg} {wide_bar} {pos}/{len} s") {
         bar.set_style(style);
     }
@@ -215,13 +207,8 @@
     Ok(judge(&run))
 }
 
-async fn run_once(
-    scenario: &Scenario,
-    seed: u64,
-    node: Option<PathBuf>,
-    out: Option<PathBuf>,
-    json: bool,
-) -> Result<(), Failure> {
+async fn run_once(scenario: &Scenario, seed: u64, told: Told) -> Result<(), Failure> {
+    let Told { node, out, json } = told;
     let programs = programs(node)?;
     guard(&programs)?;
     let report = once(scenario, seed, &programs).await?;
@@ -319,7 +306,7 @@
         return Err(Failure::Wrong("--steps 2 or more, --runs 1 or more, --from under --to expected".into()));
     }
     let base = Scenario::load(&args.scenario).map_err(Failure::wrong)?;
-    let programs = programs(args.node)?;
+    let programs = programs(args.told.node)?;
     let value = |n: usize| args.from + (args.to - args.from) * n as f64 / (args.steps - 1) as f64;
     let scenarios: Result<Vec<_>, _> =
         (0..args.steps).map(|n| Ok((value(n), with(&base, &args.vary, value(n))?))).collect();
@@ -354,7 +341,7 @@
             at.value
         ),
     };
-    if let Some(out) = &args.out {
+    if let Some(out) = &args.told.out {
         std::fs::create_dir_all(out).map_err(Failure::failed)?;
         let curve = |name: &str, read: fn(&Step) -> f64| Curve {
             name: name.to_owned(),
@@ -364,5 +351,5 @@
         let axes = (args.vary.as_str(), "worth a second");
         plot(&out.join("sweep.svg"), "Goodput", axes, &curves, &[]).map_err(Failure::failed)?;
     }
-    tell(args.out.as_deref(), "sweep", &steps, &text, args.json)
+    tell(args.told.out.as_deref(), "sweep", &steps, &text, args.told.json)
 }
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -18,7 +18,8 @@
 
 use crate::fleet::{Node, ANSWER_GRACE_S};
 use crate::net::{at, Dice};
-use crate::parties::{lock, value, Book};
+use crate::parties::{value, Book};
+use crate::party::lock;
 use crate::scenario::Effect;
 
 /// How a try ended, as its client saw it.
@@ -65,15 +66,11 @@
 
 type Connection = SendRequest<Full<Bytes>>;
 
-struct Front {
-    zone: usize,
-    turn: AtomicUsize,
-}
-
 pub struct Clients {
     book: Arc<Book>,
     nodes: Vec<Arc<Node>>,
-    fronts: Vec<Front>,
+    /// By zone: how many connections its front has dealt out.
+    fronts: Vec<AtomicUsize>,
     /// By node.
     idle: Vec<Mutex<Vec<Connection>>>,
     pub tries: Mutex<Vec<Try>>,
@@ -93,8 +90,7 @@
 
 impl Clients {
     pub fn new(book: Arc<Book>, nodes: Vec<Arc<Node>>, seed: u64) -> Arc<Self> {
-        let fronts =
-            (0..book.scenario.fleet.zones.len()).map(|zone| Front { zone, turn: AtomicUsize::new(zone) });
+        let fronts = (0..book.scenario.fleet.zones.len()).map(AtomicUsize::new);
         let lateness =
             Histogram::new_with_max(60_000_000, 3).unwrap_or_else(|_| unreachable!("fixed bounds"));
         Arc::new(Clients {
@@ -162,11 +158,10 @@
 
     /// The node to which the zone's front gives the next connection.
     fn pick(&self, zone: usize) -> Option<usize> {
-        let front = &self.fronts[zone];
         let in_use = |node: &&Arc<Node>| node.in_use.load(Ordering::Relaxed);
-        let own: Vec<_> = self.nodes.iter().filter(in_use).filter(|n| n.zone == front.zone).collect();
+        let own: Vec<_> = self.nodes.iter().filter(in_use).filter(|n| n.zone == zone).collect();
         let any: Vec<_> = if own.is_empty() { self.nodes.iter().filter(in_use).collect() } else { own };
-        let turn = front.turn.fetch_add(1, Ordering::Relaxed);
+        let turn = self.fronts[zone].fetch_add(1, Ordering::Relaxed);
         Some(any.get(turn % any.len().max(1))?.number)
     }
 
--- a/lab/src/conduct.rs
+++ b/lab/src/conduct.rs
@@ -21,10 +21,11 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::clients::{Answer, Clients};
-use crate::fleet::{ready, Fleet, Node};
+use crate::fleet::{ready, Fleet, Node, CLIENTS_READY};
 use crate::judge::{Band, Run};
 use crate::net::{at, Life, Links, Way};
-use crate::parties::{lock, Book, End, Parties, Party, ORIGIN};
+use crate::parties::{Book, End, Parties, Party, ORIGIN};
+use crate::party::lock;
 use crate::plan::draw;
 use crate::process::guard;
 use crate::scenario::{Fault, Scenario, What, Whom};
@@ -148,7 +149,7 @@
 ) -> io::Result<Run> {
     scenario.seed = seed;
     let conductor = Conductor::start(&scenario, seed, programs).await?;
-    let Conductor { book, parties, fleet, clients, .. } = &*conductor;
+    let Conductor { book, clients, .. } = &*conductor;
     let begin = book.begin();
     let lead = {
         let (book, lead) = (Arc::clone(book), scenario.lead_s);
@@ -173,39 +174,7 @@
             Err(e) => return Err(io::Error::other(e)),
         }
     }
-    Ok(collect(book, parties, fleet, clients, bands, seed))
-}
-
-fn collect(
-    book: &Arc<Book>,
-    parties: &Arc<Parties>,
-    fleet: &Arc<Fleet>,
-    clients: &Arc<Clients>,
-    bands: Vec<Band>,
-    seed: u64,
-) -> Run {
-    let zones: Vec<u8> = parties.all().iter().map(|party| party.zone as u8).collect();
-    let take = |away: &Mutex<Vec<(f64, f64)>>| lock(away).clone();
-    let panics = fleet.logs().into_iter().filter(|(_, log)| log.contains("panicked")).map(|(name, _)| name);
-    let mut crashed = fleet.crashed();
-    crashed.extend(panics);
-    Run {
-        scenario: book.scenario.clone(),
-        seed,
-        plan: book.plan.clone(),
-        tries: std::mem::take(&mut lock(&clients.tries)),
-        seen: std::mem::take(&mut lock(&book.seen)),
-        falls: std::mem::take(&mut lock(&book.falls)),
-        told: std::mem::take(&mut lock(&fleet.views.told)),
-        versions: std::mem::take(&mut lock(&fleet.views.versions)),
-        foreign_ids: book.foreign.load(Ordering::Relaxed) as u64,
-        long_messages: fleet.views.long_messages.load(Ordering::Relaxed) as u64,
-        away: fleet.nodes.iter().map(|node| take(&node.away)).collect(),
-        crashed,
-        server_zones: zones,
-        bands,
-        lateness: lock(&clients.lateness).clone(),
-    }
+    Ok(conductor.collect(bands))
 }
 
 impl Conductor {
@@ -243,6 +212,34 @@
         Ok(conductor)
     }
 
+    /// All that was seen.
+    fn collect(&self, bands: Vec<Band>) -> Run {
+        let Conductor { book, parties, fleet, clients, seed, .. } = self;
+        let zones: Vec<u8> = parties.all().iter().map(|party| party.zone as u8).collect();
+        let take = |away: &Mutex<Vec<(f64, f64)>>| lock(away).clone();
+        let panics =
+            fleet.logs().into_iter().filter(|(_, log)| log.contains("panicked")).map(|(name, _)| name);
+        let mut crashed = fleet.crashed();
+        crashed.extend(panics);
+        Run {
+            scenario: book.scenario.clone(),
+            seed: *seed,
+            plan: book.plan.clone(),
+            tries: std::mem::take(&mut lock(&clients.tries)),
+            seen: std::mem::take(&mut lock(&book.seen)),
+            falls: std::mem::take(&mut lock(&book.falls)),
+            told: std::mem::take(&mut lock(&fleet.views.told)),
+            versions: std::mem::take(&mut lock(&fleet.views.versions)),
+            foreign_ids: book.foreign.load(Ordering::Relaxed) as u64,
+            long_messages: fleet.views.long_messages.load(Ordering::Relaxed) as u64,
+            away: fleet.nodes.iter().map(|node| take(&node.away)).collect(),
+            crashed,
+            server_zones: zones,
+            bands,
+            lateness: lock(&clients.lateness).clone(),
+        }
+    }
+
     // ---- Agents ------------------------------------------------------------------------------------------
 
     /// Starts a party's agent.
@@ -449,10 +446,7 @@
                 self.servers(whom, n).iter().for_each(|party| party.set_errors(*share, class));
             }
             What::ColdServers { whom } => {
-                for party in self.servers(whom, n) {
-                    self.lose(std::slice::from_ref(&party), Life::Dead);
-                    self.restart(&party);
-                }
+                self.servers(whom, n).iter().for_each(|party| self.renew(party));
             }
             What::DrainServers { whom } => {
                 self.servers(whom, n).iter().for_each(|party| self.tell_agent(&party.id, Agent::Goodbye));
@@ -512,10 +506,7 @@
         let usual = |way: Way| way;
         match what {
             What::KillServers { whom } | What::SilenceServers { whom } | What::DrainServers { whom } => {
-                for party in self.servers(whom, n) {
-                    self.lose(std::slice::from_ref(&party), Life::Dead);
-                    self.restart(&party);
-                }
+                self.servers(whom, n).iter().for_each(|party| self.renew(party));
             }
             What::PauseServers { whom } => {
                 self.servers(whom, n).iter().for_each(|party| self.parties.pause(party, false));
@@ -576,6 +567,12 @@
         }
     }
 
+    /// A process ends, if it had not, and the next one of its name starts.
+    fn renew(self: &Arc<Self>, party: &Arc<Party>) {
+        self.lose(std::slice::from_ref(party), Life::Dead);
+        self.restart(party);
+    }
+
     /// A server of this name starts anew, cold and empty, and is listed again.
     fn restart(self: &Arc<Self>, party: &Arc<Party>) {
         self.parties.restart(party, unix_ms());
@@ -623,7 +620,7 @@
             self.fleet.launch(node)?;
         }
         for node in &nodes {
-            ready(node.listen).await?;
+            ready(node.listen, CLIENTS_READY).await?;
             self.back(node);
         }
         Ok(())
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -21,8 +21,8 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::net::{message_delay, Dice};
-use crate::parties::{lock, Book, Parties, FALL_MULTIPLE, FALL_S};
-use crate::party::serve;
+use crate::parties::{Book, Parties, FALL_MULTIPLE, FALL_S};
+use crate::party::{lock, serve};
 use crate::plan::quota;
 use crate::process::{Folder, Process};
 use crate::scenario::{Effect, Scenario, What};
@@ -158,7 +158,7 @@
             self.launch(node)?;
         }
         for node in &self.nodes {
-            ready(node.listen).await.map_err(|e| {
+            ready(node.listen, CLIENTS_READY).await.map_err(|e| {
                 let log = std::fs::read_to_string(self.log(node)).unwrap_or_default();
                 io::Error::other(format!("{}: {e}; its log:\n{log}", node.name))
             })?;
@@ -223,17 +223,7 @@
         *lock(&node.ops) = free();
         let door = *lock(&node.ops);
         let new = self.spawn(node)?;
-        let until = Instant::now() + READY;
-        loop {
-            let answer = Line::new(door).within(READY, Call::get("/-/ready", 1 << 10)).await;
-            if answer.is_ok_and(|answer| answer.status.is_success()) {
-                break;
-            }
-            if Instant::now() > until {
-                return Err(io::Error::other(format!("{}: its new process is not ready", node.name)));
-            }
-            sleep(LOOK).await;
-        }
+        ready(door, "/-/ready").await?;
         let old = lock(&node.process).replace(new);
         if let Some(mut old) = old {
             old.signal("TERM");
@@ -280,14 +270,17 @@
     std::fs::rename(new, file)
 }
 
-/// Waits until a node says that it may be used.
+/// Where clients' front asks whether a node may be used; its door has a path of its own.
+pub const CLIENTS_READY: &str = "/health/ready";
+
+/// Waits until a node says at this address and path that it may be used.
 ///
 /// # Errors
 /// Where it does not.
-pub async fn ready(node: SocketAddr) -> io::Result<()> {
+pub async fn ready(addr: SocketAddr, path: &str) -> io::Result<()> {
     let until = Instant::now() + READY;
     loop {
-        let answer = Line::new(node).within(READY, Call::get("/health/ready", 1 << 10)).await;
+        let answer = Line::new(addr).within(READY, Call::get(path, 1 << 10)).await;
         if answer.is_ok_and(|answer| answer.status.is_success()) {
             return Ok(());
         }
--- a/lab/src/net.rs
+++ b/lab/src/net.rs
@@ -78,9 +78,9 @@
     }
 }
 
-/// What a door needs to know.
+/// What lies between a door and whoever comes to it.
 #[derive(Clone)]
-pub struct Way2 {
+pub struct Passage {
     pub link: watch::Receiver<Link>,
     pub life: watch::Receiver<Life>,
     pub dice: Dice,
@@ -98,7 +98,7 @@
 }
 
 /// Listens as long as the runtime lives; whoever comes in is given to `serve` with the far end of the link.
-pub async fn door<S>(addr: SocketAddr, mut way: Way2, serve: S)
+pub async fn door<S>(addr: SocketAddr, mut way: Passage, serve: S)
 where
     S: Fn(DuplexStream) + Send + 'static,
 {
@@ -114,12 +114,12 @@
     }
 }
 
-fn silent(way: &Way2) -> bool {
+fn silent(way: &Passage) -> bool {
     way.link.borrow().is_cut() || *way.life.borrow() == Life::Vanished
 }
 
 /// Until the process is dead.
-async fn listen<S: Fn(DuplexStream)>(addr: SocketAddr, listener: &TcpListener, way: &mut Way2, serve: &S) {
+async fn listen<S: Fn(DuplexStream)>(addr: SocketAddr, listener: &TcpListener, way: &mut Passage, serve: &S) {
     let mut fillers = Vec::new();
     loop {
         if *way.life.borrow_and_update() == Life::Dead {
@@ -158,7 +158,7 @@
 }
 
 /// One connection's life: both ways until one side ends, the process dies, or the link has been cut and is back.
-async fn carry(stream: TcpStream, near: DuplexStream, way: Way2) {
+async fn carry(stream: TcpStream, near: DuplexStream, way: Passage) {
     // Whatever ends it, the caller sees a reset unless all was said.
     let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
     let (mut from_caller, mut to_caller) = stream.into_split();
@@ -189,8 +189,8 @@
 }
 
 /// Ends when connections are reset: the process is dead, or a silence is over, or breaking begins.
-async fn over(way: &mut Way2) {
-    let breaks = |way: &Way2| way.link.borrow().there.reset_ms.is_some();
+async fn over(way: &mut Passage) {
+    let breaks = |way: &Passage| way.link.borrow().there.reset_ms.is_some();
     let (mut was_silent, broke) = (silent(way), breaks(way));
     loop {
         tokio::select! {
@@ -207,7 +207,7 @@
     }
 }
 
-async fn pass<R, W>(from: &mut R, to: &mut W, way: &Way2, there: bool)
+async fn pass<R, W>(from: &mut R, to: &mut W, way: &Passage, there: bool)
 where
     R: AsyncReadExt + Unpin,
     W: AsyncWriteExt + Unpin,
@@ -325,7 +325,7 @@
         let addr = free();
         let links = Links::new(2, Way::default(), Way::default());
         let life = watch::Sender::new(Life::Up);
-        let way = Way2 { link: links.between(0, 1), life: life.subscribe(), dice: Dice::new(1) };
+        let way = Passage { link: links.between(0, 1), life: life.subscribe(), dice: Dice::new(1) };
         tokio::spawn(door(addr, way, echo));
         let connect = || timeout(Duration::from_millis(700), TcpStream::connect(addr));
         let mut old = loop {
--- a/lab/src/parties.rs
+++ b/lab/src/parties.rs
@@ -4,31 +4,28 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::sync::{oneshot, watch, Notify};
 use tokio::time::Instant;
 
 use crate::machine::{Build, Entry, Machine};
-use crate::net::{at, door, Dice, Life, Links, Way2};
+use crate::net::{at, door, Dice, Life, Links, Passage};
+use crate::party::{lock, reply, Reply, LONGEST_BODY};
 use crate::plan::Asked;
 use crate::scenario::{Effect, Scenario};
 use crate::service::free;
 
-type Reply = Response<Full<Bytes>>;
-
 /// The origin's number among the parties.
 pub const ORIGIN: u16 = u16::MAX;
-const LONGEST_BODY: usize = 64 << 10;
 /// A read that missed counts as being fetched for so long.
 const FETCHING_S: f64 = 0.4;
 /// Servers at which an object is stored that missed for one request.
@@ -36,10 +33,6 @@
 /// Reads whose misses are remembered until the origin answers them.
 const MOST_MISSED: usize = 100_000;
 
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// How an attempt ended, as the party knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -213,7 +206,7 @@
     connections: AtomicUsize,
     /// Load report and when it was made.
     report: Mutex<(f64, String)>,
-    next_job: Mutex<u64>,
+    next_job: AtomicU64,
 }
 
 /// All parties of a run.
@@ -261,12 +254,6 @@
     }
 }
 
-fn reply(status: StatusCode, body: impl Into<Bytes>) -> Reply {
-    let mut reply = Response::new(Full::new(body.into()));
-    *reply.status_mut() = status;
-    reply
-}
-
 fn not_run() -> Reply {
     let mut reply = reply(StatusCode::SERVICE_UNAVAILABLE, "");
     reply.headers_mut().insert("x-not-run", HeaderValue::from_static("1"));
@@ -330,7 +317,7 @@
             errors: Mutex::new((scenario.servers.errors, None)),
             connections: AtomicUsize::new(0),
             report: Mutex::new((f64::NEG_INFINITY, String::new())),
-            next_job: Mutex::new(0),
+            next_job: AtomicU64::new(0),
         }
     }
 
@@ -388,7 +375,7 @@
     /// Opens a party's doors and starts its machine.
     pub fn open(self: &Arc<Self>, party: &Arc<Party>) {
         for (zone, addr) in party.addrs.iter().enumerate() {
-            let way = Way2 {
+            let way = Passage {
                 link: self.links.between(zone, party.zone),
                 life: party.life.subscribe(),
                 dice: Dice::new(u64::from(party.number) * 64 + zone as u64),
@@ -491,10 +478,7 @@
         work: f64,
         seen: Seen,
     ) -> Option<(oneshot::Receiver<()>, Job)> {
-        let mut next = lock(&party.next_job);
-        *next += 1;
-        let job = *next;
-        drop(next);
+        let job = party.next_job.fetch_add(1, Ordering::Relaxed);
         let (tell, done) = oneshot::channel();
         lock(&party.waiting).insert(job, tell);
         let now = self.book.now();
--- a/lab/src/party.rs
+++ b/lab/src/party.rs
@@ -19,11 +19,11 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-type Reply = Response<Full<Bytes>>;
+pub(crate) type Reply = Response<Full<Bytes>>;
 
-const LONGEST_BODY: usize = 64 << 10;
+pub(crate) const LONGEST_BODY: usize = 64 << 10;
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -59,7 +59,7 @@
     Ok(addr)
 }
 
-fn reply(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+pub(crate) fn reply(status: StatusCode, body: impl Into<Bytes>) -> Reply {
     let mut reply = Response::new(Full::new(body.into()));
     *reply.status_mut() = status;
     reply
