Add duties: grants and fencing in the log, signs of life at the leader, duty run with a minder

- wire: types of the calls under /registry/duties, the two headers of a fence.
Changes of the list and the word on expiry may be put under a fence, checked in the log command.
- client: `tenure` (pure), `duty` (line, renewals, release, checkpoint), `minder` (a command within a tenure).
- shaletrail duty run|list|show|release|transfer|checkpoint|remove.
- rustix (safe calls of the kernel): the boot-time clock, which also counts suspension and is the same in all processes of a machine, and signals to a process group.
Behind the client's feature `duty`; the node does without.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod bench;
 mod config;
+mod duty;
 mod lab;
 mod list;
 mod registry;
@@ -44,6 +45,8 @@
     List(list::Args),
     /// Run beside a cache server and keep it listed while it answers
     Agent(agent::Args),
+    /// Work that one process does at a time: hold it, see who does, move it
+    Duty(duty::Args),
     /// Start a small fleet on loopback: a registry, emulated cache servers and an origin, and a node
     Up(up::Args),
     /// Play failures on a fleet between emulated parties, and judge what was seen
@@ -96,6 +99,7 @@
             Noun::Registry(args) => registry::run(*args).await,
             Noun::List(args) => list::run(args).await,
             Noun::Agent(args) => agent::run(args).await,
+            Noun::Duty(args) => duty::run(args).await,
             Noun::Up(args) => up::run(args).await,
             Noun::Lab(args) => lab::run(args).await,
             Noun::Guard => {
--- a/client/src/changes.rs
+++ b/client/src/changes.rs
@@ -8,6 +8,7 @@
 use percent_encoding::{utf8_percent_encode, AsciiSet, CONTROLS};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use shaletrail_wire::duty::{Fence, DUTIES, DUTY_HEADER, FENCE_HEADER};
 use shaletrail_wire::{Refusal, INSTANCES, LONGEST_CALL};
 
 use crate::call::{Call, Line};
@@ -37,11 +38,65 @@
 pub struct Changes {
     endpoints: Vec<SocketAddr>,
     at: usize,
+    /// The duty and the fencing number that each change carries.
+    under: Option<(String, String)>,
 }
 
 impl Changes {
     pub fn new(endpoints: Vec<SocketAddr>) -> Self {
-        Changes { endpoints, at: 0 }
+        Changes { endpoints, at: 0, under: None }
+    }
+
+    /// From now on changes hold only while this tenure does.
+    pub fn under(&mut self, fence: Option<&Fence>) {
+        self.under = fence.map(|fence| (fence.duty.clone(), fence.fence.to_string()));
+    }
+
+    pub fn endpoints(&self) -> &[SocketAddr] {
+        &self.endpoints
+    }
+
+    /// One try at one endpoint. Where it brings no answer that counts, the next try is at the next one.
+    ///
+    /// # Errors
+    /// Tells whether it may have happened.
+    pub async fn once<A: DeserializeOwned>(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: bytes::Bytes,
+        time: Duration,
+    ) -> Result<A, ChangeError> {
+        let Some(addr) = self.endpoints.get(self.at).copied() else {
+            return Err(ChangeError::NotDone("no endpoint is known".into()));
+        };
+        let headers = match &self.under {
+            Some((duty, fence)) => vec![(DUTY_HEADER, duty.as_str()), (FENCE_HEADER, fence.as_str())],
+            None => Vec::new(),
+        };
+        let call = Call { method, path, headers: &headers, body, most: LONGEST_CALL, last: true };
+        let done = match Line::new(addr).within(time, call).await {
+            Ok(answer) if answer.status.is_success() => match serde_json::from_slice(&answer.body) {
+                Ok(told) => return Ok(told),
+                Err(e) => Err(ChangeError::Unknown(format!("{addr}: {e}"))),
+            },
+            Ok(answer) => {
+                let refusal = serde_json::from_slice::<Refusal>(&answer.body);
+                let why = refusal.map_or_else(|_| String::new(), |refusal| refusal.error);
+                if answer.status.is_client_error() {
+                    return Err(ChangeError::Refused { status: answer.status, why });
+                }
+                let trouble = format!("{addr}: {} {why}", answer.status);
+                match answer.headers.contains_key(shaletrail_wire::NOT_RUN) {
+                    true => Err(ChangeError::NotDone(trouble)),
+                    false => Err(ChangeError::Unknown(trouble)),
+                }
+            }
+            Err(e) if e.not_run() => Err(ChangeError::NotDone(format!("{addr}: {e}"))),
+            Err(e) => Err(ChangeError::Unknown(format!("{addr}: {e}"))),
+        };
+        self.at = (self.at + 1) % self.endpoints.len();
+        done
     }
 
     /// Puts an idempotent call again and again, for so long at the most.
@@ -58,51 +113,24 @@
         let body: bytes::Bytes = serde_json::to_vec(question)?.into();
         let until = Instant::now() + time;
         let mut ran = false;
-        let mut tries = 0;
-        loop {
-            let Some(addr) = self.endpoints.get(self.at).copied() else {
-                return Err(ChangeError::NotDone("no endpoint is known".into()));
-            };
-            let call = Call {
-                method: method.clone(),
-                path,
-                headers: &[],
-                body: body.clone(),
-                most: LONGEST_CALL,
-                last: true,
-            };
+        for tries in 1.. {
             let left = until.saturating_duration_since(Instant::now()).min(CALL_TIME);
-            let trouble = match Line::new(addr).within(left, call).await {
-                Ok(answer) if answer.status.is_success() => match serde_json::from_slice(&answer.body) {
-                    Ok(told) => return Ok(told),
-                    Err(e) => {
-                        ran = true;
-                        format!("{addr}: {e}")
-                    }
-                },
-                Ok(answer) => {
-                    let refusal = serde_json::from_slice::<Refusal>(&answer.body);
-                    let why = refusal.map_or_else(|_| String::new(), |refusal| refusal.error);
-                    if answer.status.is_client_error() {
-                        return Err(ChangeError::Refused { status: answer.status, why });
-                    }
-                    ran |= !answer.headers.contains_key(shaletrail_wire::NOT_RUN);
-                    format!("{addr}: {} {why}", answer.status)
-                }
-                Err(e) => {
-                    ran |= !e.not_run();
-                    format!("{addr}: {e}")
+            let trouble = match self.once(method.clone(), path, body.clone(), left).await {
+                Err(ChangeError::NotDone(trouble)) => trouble,
+                Err(ChangeError::Unknown(trouble)) => {
+                    ran = true;
+                    trouble
                 }
+                done => return done,
             };
-            self.at = (self.at + 1) % self.endpoints.len();
-            tries += 1;
             if Instant::now() >= until {
                 return Err(if ran { ChangeError::Unknown(trouble) } else { ChangeError::NotDone(trouble) });
             }
-            if tries % self.endpoints.len() == 0 {
+            if tries % self.endpoints.len().max(1) == 0 {
                 tokio::time::sleep(PAUSE).await;
             }
         }
+        unreachable!("the loop ends by its time")
     }
 
     /// One call that changes nothing.
@@ -132,6 +160,15 @@
 
 /// The path of one entry's call: none, `renew` or `leaving`.
 pub fn entry_path(id: &str, call: &str) -> String {
+    path_of(INSTANCES, id, call)
+}
+
+/// The path of one duty's call.
+pub fn duty_path(name: &str, call: &str) -> String {
+    path_of(DUTIES, name, call)
+}
+
+fn path_of(all: &str, name: &str, call: &str) -> String {
     let slash = if call.is_empty() { "" } else { "/" };
-    format!("{INSTANCES}/{}{slash}{call}", utf8_percent_encode(id, IN_PATH))
+    format!("{all}/{}{slash}{call}", utf8_percent_encode(name, IN_PATH))
 }
--- /dev/null
+++ b/client/src/duty.rs
@@ -0,0 +1,265 @@
+//! Holding a duty: a place in line, signs of life, and the end of a tenure in time. Gives `tenure` sockets and a clock.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use shaletrail_wire::duty::{
+    check_lease, Acquire, Candidate, Checkpoint, Duty, Fence, Kept, Release, Renew, Standing, Why,
+    LONGEST_HOLD, MOST_EXACT,
+};
+use shaletrail_wire::{check_id, Invalid};
+use tokio::time::sleep;
+
+use crate::changes::{duty_path, ChangeError, Changes};
+use crate::clock::boot;
+use crate::tenure::{News, Tenure, Time};
+
+/// A holder lets its renewals wait for news so long, and gives each call so much more: two more tries are left in a
+/// lease after one that brought nothing.
+const HOLD_PART: u32 = 5;
+const CALL_PART: u32 = 8;
+/// Least time for a call.
+const LEAST_CALL: Duration = Duration::from_millis(100);
+/// Most time between two tries after trouble; a lease's hundredth below it.
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
+/// How often the clock is looked at while time passes: a machine that was suspended must not wait on.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Why a duty can't be stood in line for, or its data not be written.
+#[derive(Debug, thiserror::Error)]
+pub enum DutyError {
+    #[error("{0}")]
+    Wrong(#[from] Invalid),
+    #[error("{duty}: {why}")]
+    Refused { duty: String, why: String },
+    /// The own clock says that the tenure is over; nothing was put.
+    #[error("{0}: not held any more")]
+    Over(String),
+    #[error("{duty}: {error}")]
+    Change { duty: String, error: ChangeError },
+}
+
+/// How a tenure ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// An operator asks for it.
+    Asked,
+    /// The registry says that it is over.
+    Lost,
+    /// No answer in time: the own clock says so.
+    Clock,
+}
+
+/// A place in the line for one duty.
+pub struct Seat {
+    changes: Changes,
+    name: String,
+    who: Candidate,
+    tenure: Tenure,
+    joined: bool,
+    /// Draws pauses.
+    chance: u64,
+    give_way: bool,
+}
+
+impl Seat {
+    /// `life` is drawn anew for each process: what an earlier one started may still run.
+    ///
+    /// # Errors
+    /// Names what is out of bounds.
+    pub fn new(
+        endpoints: Vec<SocketAddr>,
+        name: &str,
+        id: &str,
+        life: u64,
+        lease_s: f64,
+    ) -> Result<Seat, DutyError> {
+        check_id(name).map_err(|Invalid(what)| Invalid(format!("duty: {what}")))?;
+        let who = Candidate { id: id.to_owned(), life: life % MOST_EXACT };
+        who.check()?;
+        let lease = check_lease(lease_s)?;
+        Ok(Seat {
+            changes: Changes::new(endpoints),
+            name: name.to_owned(),
+            tenure: Tenure::new(lease),
+            joined: false,
+            chance: who.life | 1,
+            who,
+            give_way: false,
+        })
+    }
+
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    pub fn endpoints(&self) -> &[SocketAddr] {
+        self.changes.endpoints()
+    }
+
+    /// The fencing number, for as long as this process may act.
+    pub fn holds(&self) -> Option<u64> {
+        self.tenure.holds(boot())
+    }
+
+    /// When it has to have begun to stop, and when what it runs is to be killed, on the boot-time clock.
+    pub fn ends(&self) -> Option<(Time, Time)> {
+        self.tenure.ends()
+    }
+
+    /// What every change of this tenure carries.
+    pub fn fence(&self) -> Option<Fence> {
+        self.holds().map(|fence| Fence { duty: self.name.clone(), fence })
+    }
+
+    fn pause(&mut self) -> Duration {
+        // Marsaglia's xorshift: spread is all that is wanted of it.
+        self.chance ^= self.chance << 13;
+        self.chance ^= self.chance >> 7;
+        self.chance ^= self.chance << 17;
+        let most = (self.tenure.lease() / 20).min(LONGEST_PAUSE);
+        most / 4 + most.mul_f64((self.chance % 1024) as f64 / 1024.0)
+    }
+
+    /// One sign of life, answered at news or after `hold`.
+    async fn sign(&mut self, hold: Duration) -> Result<News, ChangeError> {
+        let sent = boot();
+        let lease = self.tenure.lease();
+        let time = hold + (lease / CALL_PART).max(LEAST_CALL);
+        let who = self.who.clone();
+        let standing: Result<Standing, ChangeError> = if self.joined {
+            let holds = self.tenure.holds(sent).is_some();
+            let question = Renew { who, hold_ms: hold.as_millis() as u64, holds, give_way: self.give_way };
+            let body = serde_json::to_vec(&question)?.into();
+            self.changes.once(Method::POST, &duty_path(&self.name, "renew"), body, time).await
+        } else {
+            let question = Acquire { who, lease_s: lease.as_secs_f64() };
+            let body = serde_json::to_vec(&question)?.into();
+            self.changes.once(Method::POST, &duty_path(&self.name, "acquire"), body, time).await
+        };
+        match standing {
+            Ok(standing) => {
+                self.joined = true;
+                self.give_way = standing.give_way;
+                Ok(self.tenure.told(sent, Some(&standing), boot()))
+            }
+            Err(ChangeError::Refused { status: StatusCode::NOT_FOUND, .. }) => {
+                self.joined = false;
+                Ok(self.tenure.told(sent, None, boot()))
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Waits in line until the duty is held. `say` is told of trouble once for each kind.
+    ///
+    /// # Errors
+    /// Where the registry refuses the candidate.
+    pub async fn win(&mut self, mut say: impl FnMut(String)) -> Result<u64, DutyError> {
+        let mut said = String::new();
+        let mut hold = Duration::ZERO;
+        loop {
+            match self.sign(hold).await {
+                Ok(_) => {
+                    if let Some(fence) = self.holds() {
+                        return Ok(fence);
+                    }
+                    hold = (self.tenure.lease() / 4).min(LONGEST_HOLD);
+                    if !said.is_empty() {
+                        say(format!("{}: in line again", self.name));
+                        said.clear();
+                    }
+                }
+                Err(ChangeError::Refused { why, .. }) => {
+                    return Err(DutyError::Refused { duty: self.name.clone(), why });
+                }
+                Err(e) => {
+                    hold = Duration::ZERO;
+                    let what = e.to_string();
+                    if said != what {
+                        say(format!("{}: {what}", self.name));
+                        said = what;
+                    }
+                    sleep(self.pause()).await;
+                }
+            }
+        }
+    }
+
+    /// Renews until the tenure ends; `renewed` is told its new ends. May be dropped and called again.
+    pub async fn keep(&mut self, mut renewed: impl FnMut(Time, Time)) -> Ended {
+        let mut hold = self.tenure.lease() / HOLD_PART;
+        loop {
+            let Some((until, kill)) = self.ends() else { return Ended::Lost };
+            renewed(until, kill);
+            let told = tokio::select! {
+                told = self.sign(hold.min(LONGEST_HOLD)) => told,
+                () = passed(until) => return Ended::Clock,
+            };
+            match told {
+                Ok(News::GiveWay) => return Ended::Asked,
+                Ok(News::Lost) => return if boot() >= until { Ended::Clock } else { Ended::Lost },
+                Ok(News::None | News::Won) => hold = self.tenure.lease() / HOLD_PART,
+                Err(_) => {
+                    hold = Duration::ZERO;
+                    let pause = self.pause();
+                    tokio::select! {
+                        () = sleep(pause) => {}
+                        () = passed(until) => return Ended::Clock,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Out of the line; whatever ran under the tenure has stopped. Tried for as long as it is of use: the lease does
+    /// the same. The next candidacy is another life.
+    pub async fn release(&mut self, why: Why) {
+        let question = Release { who: self.who.clone(), why };
+        let (path, lease) = (duty_path(&self.name, "release"), self.tenure.lease());
+        if self.joined {
+            let _ = self.changes.put::<Duty>(Method::POST, &path, &question, lease / 2).await;
+        }
+        self.who.life = (self.who.life + 1) % MOST_EXACT;
+        (self.joined, self.give_way, self.tenure) = (false, false, Tenure::new(lease));
+    }
+
+    /// What the last holder left.
+    ///
+    /// # Errors
+    /// The last endpoint's trouble.
+    pub async fn left(&mut self) -> Result<Kept, DutyError> {
+        let path = duty_path(&self.name, "checkpoint");
+        let failed = |error| DutyError::Change { duty: self.name.clone(), error };
+        let body = self.changes.get(&path, shaletrail_wire::LONGEST_CALL).await.map_err(failed)?;
+        serde_json::from_slice(&body)
+            .map_err(|e| DutyError::Change { duty: self.name.clone(), error: ChangeError::Unusable(e) })
+    }
+
+    /// Leaves this in place of the version `expect`. May be put twice.
+    ///
+    /// # Errors
+    /// An old holder, or another version than the last.
+    pub async fn leave(&mut self, expect: u64, data: &str) -> Result<Kept, DutyError> {
+        let fence = self.holds().ok_or_else(|| DutyError::Over(self.name.clone()))?;
+        let question = Checkpoint { fence, expect, data: data.to_owned() };
+        let (path, time) = (duty_path(&self.name, "checkpoint"), self.tenure.lease());
+        let kept = self.changes.put(Method::PUT, &path, &question, time).await;
+        kept.map_err(|error| match error {
+            ChangeError::Refused { why, .. } => DutyError::Refused { duty: self.name.clone(), why },
+            error => DutyError::Change { duty: self.name.clone(), error },
+        })
+    }
+}
+
+/// Until the boot-time clock shows this.
+async fn passed(until: Time) {
+    loop {
+        let left = until.saturating_sub(boot());
+        if left.is_zero() {
+            return;
+        }
+        sleep(left.min(LOOK)).await;
+    }
+}
--- a/registry/src/catalogue.rs
+++ b/registry/src/catalogue.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use shaletrail_wire::duty::Fence;
 use shaletrail_wire::{Entry, List, Stamp, State};
 
+use crate::duties::{DutyCommand, DutyOutcome, DutyRefused};
+
 /// Entries at once. More are refused.
 pub const MOST_ENTRIES: usize = 20_000;
 /// Entries that have left and are still told as changes. Older watches get the whole list.
@@ -36,6 +39,12 @@
     NumberReplica {
         name: String,
     },
+    Duty(DutyCommand),
+    /// Holds only while this tenure does.
+    Fenced {
+        under: Fence,
+        change: Box<Command>,
+    },
 }
 
 /// What a command came to. It holds from `version` on.
@@ -52,6 +61,7 @@
         id: u64,
     },
     Refused(Refused),
+    Duty(DutyOutcome),
     /// The log entry was none of the list's.
     Nothing,
 }
@@ -67,6 +77,8 @@
     Unknown,
     #[error("the list holds {MOST_ENTRIES} entries, the most it may")]
     Full,
+    #[error("duty {duty}: {why}")]
+    Fenced { duty: String, why: DutyRefused },
 }
 
 /// An entry as it is kept.
@@ -139,6 +151,8 @@
                 self.replicas += 1;
                 Outcome::Numbered { id: self.replicas }
             }
+            // None of the list's: the machine above has taken them apart.
+            Command::Duty(_) | Command::Fenced { .. } => Outcome::Nothing,
         }
     }
 
--- a/registry/src/changing.rs
+++ b/registry/src/changing.rs
@@ -12,12 +12,14 @@
 use percent_encoding::percent_decode_str;
 use serde_json::json;
 use shaletrail_client::call::{Call, Line};
+use shaletrail_wire::duty::{Fence, DUTIES, DUTY_HEADER, FENCE_HEADER};
 use shaletrail_wire::{
     check_id, Changed, Confirm, Confirmed, Join, Register, RenewMany, Renewed, Stamp, INSTANCES,
     LONGEST_CALL, MOST_RENEWED, NOT_RUN,
 };
 
 use crate::catalogue::{Command, Outcome, Refused};
+use crate::duty_calls;
 use crate::http::{body, json, not_run, parse, raw, refusal, Reply};
 use crate::leases::Renewal;
 use crate::replica::{add, backup, Replica, Unacknowledged};
@@ -32,6 +34,8 @@
     /// Without what stands in front of it where it was passed on.
     pub path: String,
     pub body: Bytes,
+    /// Under which the change is made, if under any.
+    pub fence: Option<Fence>,
     /// Passed on already, and not to be again: two replicas may each take the other for the leader.
     pub passed: bool,
 }
@@ -40,9 +44,14 @@
     let path = request.uri().path();
     let path = if passed { path.strip_prefix(FORWARD).unwrap_or(path) } else { path }.to_owned();
     let method = request.method().clone();
+    let header = |name| request.headers().get(name).map(|value| value.to_str().unwrap_or("not text"));
+    let fence = match Fence::read(header(DUTY_HEADER), header(FENCE_HEADER)) {
+        Ok(fence) => fence,
+        Err(e) => return refusal(StatusCode::BAD_REQUEST, e),
+    };
     match body(request, LONGEST_CALL).await {
         Err(reply) => reply,
-        Ok(body) => respond(&replica, Asked { method, path, body, passed }).await,
+        Ok(body) => respond(&replica, Asked { method, path, body, fence, passed }).await,
     }
 }
 
@@ -60,6 +69,7 @@
     Instance(&'a str),
     Renew(&'a str),
     Leaving(&'a str),
+    Duty(duty_calls::Call, &'a str),
 }
 
 impl<'a> Named<'a> {
@@ -79,6 +89,10 @@
                         None => Named::Replica(rest),
                     });
                 }
+                if let Some(rest) = path.strip_prefix(DUTIES) {
+                    let (call, name) = duty_calls::Call::of(rest)?;
+                    return Some(Named::Duty(call, name));
+                }
                 let rest = path.strip_prefix(INSTANCES)?.strip_prefix('/')?;
                 match rest.split_once('/') {
                     None => Named::Instance(rest),
@@ -99,8 +113,14 @@
             Named::Renew(_) | Named::Leaving(_) => POST,
             Named::Replica(_) => &[Method::DELETE],
             Named::Instance(_) => &[Method::PUT, Method::DELETE],
+            Named::Duty(call, _) => call.methods(),
         }
     }
+
+    /// Whether it can be made under a fencing number.
+    fn guarded(&self) -> bool {
+        matches!(self, Named::Instance(_) | Named::Leaving(_) | Named::Confirm)
+    }
 }
 
 async fn respond(replica: &Arc<Replica>, asked: Asked) -> Reply {
@@ -116,21 +136,27 @@
         }
         return reply;
     }
+    if asked.fence.is_some() && !named.guarded() {
+        let what = format!("{DUTY_HEADER}: this call is not made under a duty");
+        return refusal(StatusCode::BAD_REQUEST, what);
+    }
+    let fence = asked.fence.as_ref();
     let done = match named {
+        Named::Duty(call, name) => duty_calls::answer(replica, call, name, &asked.method, &asked.body).await,
         Named::Ready => return ready(replica),
         Named::Metrics => return metrics(replica),
         Named::Status => return json(StatusCode::OK, &replica.status()),
         Named::Backup => return backed_up(replica),
-        Named::Instance(id) if asked.method == Method::PUT => register(replica, id, &asked.body).await,
+        Named::Instance(id) if asked.method == Method::PUT => register(replica, id, &asked.body, fence).await,
         Named::Instance(id) => {
-            depart(replica, id, &asked.body, |id, stamp| Command::Remove { id, stamp }).await
+            depart(replica, id, &asked.body, fence, |id, stamp| Command::Remove { id, stamp }).await
         }
         Named::Leaving(id) => {
-            depart(replica, id, &asked.body, |id, stamp| Command::Leaving { id, stamp }).await
+            depart(replica, id, &asked.body, fence, |id, stamp| Command::Leaving { id, stamp }).await
         }
         Named::Renew(id) => renew(replica, id, &asked.body),
         Named::RenewMany => renew_many(replica, &asked.body),
-        Named::Confirm => confirm(replica, &asked.body),
+        Named::Confirm => confirm(replica, &asked.body, fence).await,
         Named::Replicas => number(replica, &asked.body).await,
         Named::Promote(id) => promote(replica, id, &asked.body).await,
         Named::Replica(name) => remove(replica, name).await,
@@ -146,7 +172,7 @@
 }
 
 /// Why a call is not done here.
-enum No {
+pub enum No {
     Reply(Reply),
     Unacknowledged(Unacknowledged),
 }
@@ -163,7 +189,7 @@
     }
 }
 
-type Done = Result<Reply, No>;
+pub type Done = Result<Reply, No>;
 
 fn unacknowledged(replica: &Replica, e: Unacknowledged) -> Reply {
     match e {
@@ -184,10 +210,15 @@
         return not_run(format!("{leader} leads, and has no address"));
     };
     let path = format!("{FORWARD}{}", asked.path);
+    let number = asked.fence.as_ref().map(|fence| fence.fence.to_string());
+    let headers = match (&asked.fence, &number) {
+        (Some(fence), Some(number)) => vec![(DUTY_HEADER, fence.duty.as_str()), (FENCE_HEADER, number)],
+        _ => Vec::new(),
+    };
     let call = Call {
         method: asked.method,
         path: &path,
-        headers: &[],
+        headers: &headers,
         body: asked.body,
         most: LONGEST_CALL,
         last: true,
@@ -211,7 +242,7 @@
 
 // ---- The list -----------------------------------------------------------------------------------------
 
-fn named(id: &str) -> Result<String, Reply> {
+pub fn named(id: &str) -> Result<String, Reply> {
     let bad = |what: String| refusal(StatusCode::BAD_REQUEST, what);
     let id = percent_decode_str(id).decode_utf8().map_err(|_| bad("id: UTF-8 expected".into()))?;
     check_id(&id).map_err(|e| bad(e.to_string()))?;
@@ -225,20 +256,34 @@
     parse(body)
 }
 
-async fn register(replica: &Replica, id: &str, body: &[u8]) -> Done {
+/// The command, to hold only while the tenure does under which it is put.
+fn under(fence: Option<&Fence>, change: Command) -> Command {
+    match fence {
+        Some(under) => Command::Fenced { under: under.clone(), change: Box::new(change) },
+        None => change,
+    }
+}
+
+async fn register(replica: &Replica, id: &str, body: &[u8], fence: Option<&Fence>) -> Done {
     let id = named(id)?;
     let entry = parse::<Register>(body)?.check(&id);
     let (entry, stamp, lease) = entry.map_err(|e| refusal(StatusCode::BAD_REQUEST, e))?;
-    let done = replica.change(Command::Register { entry, stamp, lease }).await?;
+    let done = replica.change(under(fence, Command::Register { entry, stamp, lease })).await?;
     let reply = changed(replica, &id, done);
     // Registering again is a sign of life, also where nothing changed.
     replica.leases(|leases, list, now| leases.renew(&id, stamp, list, now));
     reply
 }
 
-async fn depart(replica: &Replica, id: &str, body: &[u8], command: fn(String, Stamp) -> Command) -> Done {
+async fn depart(
+    replica: &Replica,
+    id: &str,
+    body: &[u8],
+    fence: Option<&Fence>,
+    command: fn(String, Stamp) -> Command,
+) -> Done {
     let id = named(id)?;
-    let done = replica.change(command(id.clone(), stamp(body)?)).await?;
+    let done = replica.change(under(fence, command(id.clone(), stamp(body)?))).await?;
     changed(replica, &id, done)
 }
 
@@ -256,13 +301,14 @@
         Refused::Stale { .. } | Refused::Leaving => refusal(StatusCode::CONFLICT, why),
         Refused::Unknown => refusal(StatusCode::NOT_FOUND, why),
         Refused::Full => not_run(why),
+        Refused::Fenced { .. } => refusal(StatusCode::PRECONDITION_FAILED, why),
     }
 }
 
 // ---- Leases -------------------------------------------------------------------------------------------
 
 /// Why leases can't be kept here.
-fn no_leases(replica: &Replica) -> No {
+pub fn no_leases(replica: &Replica) -> No {
     match replica.may_change() {
         Err(e) => e.into(),
         Ok(()) => not_run("this replica only begins to lead").into(),
@@ -308,16 +354,24 @@
     Ok(json(StatusCode::OK, &renewed))
 }
 
-fn confirm(replica: &Replica, body: &[u8]) -> Done {
+async fn confirm(replica: &Replica, body: &[u8], fence: Option<&Fence>) -> Done {
     let asked: Confirm = parse(body)?;
     replica.may_change()?;
+    if let Some(under) = fence {
+        // The word is kept in this leader's memory alone: that it leads, and what it knows, is made sure of first.
+        replica.confirm_lead().await?;
+        let guarded = replica.view.duties(|duties| duties.guard(&under.duty, under.fence));
+        if let Err(why) = guarded {
+            return Ok(refused(&Refused::Fenced { duty: under.duty.clone(), why }));
+        }
+    }
     let due = replica.due().held.min(asked.most);
     let told = replica.leases(|leases, list, _| {
         leases.confirm(due);
         Confirmed { version: list.version(), expired: due }
     });
     let told = told.ok_or_else(|| no_leases(replica))?;
-    tracing::warn!("an operator lets {due} silent entries go");
+    tracing::warn!("{due} silent entries are let go by {}", fence.map_or("an operator", |under| &under.duty));
     Ok(json(StatusCode::OK, &told))
 }
 
@@ -419,6 +473,8 @@
             "lists": count(&counts.lists), "lists_refused": count(&counts.lists_refused),
             "watching": count(&counts.watching), "expired": count(&counts.expired),
             "elections_won": count(&counts.elections),
+            "duties": replica.view.duties(|duties| duties.len()), "duty_calls": count(&counts.duty_calls),
+            "duties_lapsed": count(&counts.duties_lapsed),
             "silent": due.silent, "silent_most": due.most, "expiry_held": due.held,
         }),
     )
--- a/registry/src/lib.rs
+++ b/registry/src/lib.rs
@@ -1,4 +1,4 @@
-//! The list service. `catalogue` and `leases` are its pure cores; the rest gives them a log, replicas and sockets.
+//! The list service. `catalogue`, `leases` and `duties` are its pure cores; the rest gives them a log, replicas and sockets.
 
 #![deny(unsafe_code)]
 // The error of a call is the answer to give instead, whole; it is made once a refused call and passed one level up.
@@ -6,6 +6,8 @@
 
 pub mod catalogue;
 mod changing;
+pub mod duties;
+mod duty_calls;
 mod http;
 pub mod leases;
 mod links;
--- a/registry/src/machine.rs
+++ b/registry/src/machine.rs
@@ -13,7 +13,8 @@
 use shaletrail_wire::List;
 use tokio::sync::watch;
 
-use crate::catalogue::{Catalogue, Kept, Outcome};
+use crate::catalogue::{Catalogue, Command, Kept, Outcome, Refused};
+use crate::duties::Duties;
 use crate::log::{seal, unseal, Damaged, OpenError};
 use crate::types::{LogEntry, LogId, SnapshotMeta, StorageError, StoredMembership, Types};
 
@@ -26,12 +27,17 @@
 pub struct Whole {
     pub meta: SnapshotMeta,
     pub kept: Kept,
+    /// Snapshots from before duties have none.
+    #[serde(default)]
+    pub duties: Duties,
 }
 
-/// The list and how far the log has been applied to it.
+/// The list, the duties, and how far the log has been applied to them.
 #[derive(Default)]
 struct Now {
     catalogue: Catalogue,
+    duties: Duties,
+    duties_changed: bool,
     applied: Option<LogId>,
     membership: StoredMembership,
 }
@@ -50,6 +56,8 @@
     now: Arc<RwLock<Now>>,
     ready: Arc<Mutex<Ready>>,
     version: watch::Sender<u64>,
+    /// How many commands have changed a duty here.
+    duties: watch::Sender<u64>,
 }
 
 impl View {
@@ -58,6 +66,21 @@
         self.read(|now| look(&now.catalogue))
     }
 
+    /// The list and the duties of one moment.
+    pub fn both<T>(&self, look: impl FnOnce(&Catalogue, &Duties) -> T) -> T {
+        self.read(|now| look(&now.catalogue, &now.duties))
+    }
+
+    /// The same at the duties.
+    pub fn duties<T>(&self, look: impl FnOnce(&Duties) -> T) -> T {
+        self.read(|now| look(&now.duties))
+    }
+
+    /// Told of each change of a duty.
+    pub fn duty_changes(&self) -> watch::Receiver<u64> {
+        self.duties.subscribe()
+    }
+
     fn read<T>(&self, read: impl FnOnce(&Now) -> T) -> T {
         read(&self.now.read().unwrap_or_else(std::sync::PoisonError::into_inner))
     }
@@ -100,8 +123,11 @@
     fn change<T>(&self, change: impl FnOnce(&mut Now) -> T) -> T {
         let mut now = self.now.write().unwrap_or_else(std::sync::PoisonError::into_inner);
         let result = change(&mut now);
-        let version = now.catalogue.version();
+        let (version, changed) = (now.catalogue.version(), std::mem::take(&mut now.duties_changed));
         drop(now);
+        if changed {
+            self.duties.send_modify(|count| *count += 1);
+        }
         self.version.send_if_modified(|told| std::mem::replace(told, version) != version);
         result
     }
@@ -129,7 +155,8 @@
             }
         };
         let version = watch::Sender::new(now.catalogue.version());
-        let view = View { now: Arc::new(RwLock::new(now)), ready: Arc::default(), version };
+        let duties = watch::Sender::new(0);
+        let view = View { now: Arc::new(RwLock::new(now)), ready: Arc::default(), version, duties };
         Ok((Machine { view: view.clone(), folder: folder.to_owned() }, view))
     }
 }
@@ -138,10 +165,27 @@
     fn of(whole: Whole) -> Self {
         Now {
             catalogue: Catalogue::kept(whole.kept),
+            duties: whole.duties,
+            duties_changed: true,
             applied: whole.meta.last_log_id,
             membership: whole.meta.last_membership,
         }
     }
+
+    fn apply(&mut self, command: Command) -> Outcome {
+        match command {
+            Command::Duty(command) => {
+                self.duties_changed = true;
+                Outcome::Duty(self.duties.apply(command))
+            }
+            // Check and change are one: between them no other holder can come.
+            Command::Fenced { under, change } => match self.duties.guard(&under.duty, under.fence) {
+                Ok(()) => self.apply(*change),
+                Err(why) => Outcome::Refused(Refused::Fenced { duty: under.duty, why }),
+            },
+            command => self.catalogue.apply(command),
+        }
+    }
 }
 
 /// Replaces a file whole, so that whoever reads it finds the old or the new one, also after a loss of power.
@@ -196,7 +240,7 @@
                 now.applied = Some(entry.log_id);
                 match entry.payload {
                     EntryPayload::Blank => Outcome::Nothing,
-                    EntryPayload::Normal(command) => now.catalogue.apply(command),
+                    EntryPayload::Normal(command) => now.apply(command),
                     EntryPayload::Membership(membership) => {
                         let highest = membership.nodes().map(|(id, _)| *id).max().unwrap_or(0);
                         now.catalogue.number_replicas(highest);
@@ -217,7 +261,7 @@
                 last_membership: now.membership.clone(),
                 snapshot_id: format!("{last}-{}", now.catalogue.version()),
             };
-            Whole { meta, kept: now.catalogue.keep() }
+            Whole { meta, kept: now.catalogue.keep(), duties: now.duties.clone() }
         });
         Builder { whole, folder: self.folder.clone() }
     }
--- a/registry/src/replica.rs
+++ b/registry/src/replica.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 
 use crate::catalogue::{Catalogue, Command, Kept, Outcome};
+use crate::duties::{Duties, DutyCommand, Gone, Signs};
 use crate::leases::{Due, Leases};
 use crate::links::{Links, Maker};
 use crate::log::{seal, unseal, Damaged, Log, OpenError};
@@ -195,6 +196,8 @@
     pub lists_refused: AtomicU64,
     pub watching: AtomicU64,
     pub expired: AtomicU64,
+    pub duty_calls: AtomicU64,
+    pub duties_lapsed: AtomicU64,
     pub elections: AtomicU64,
 }
 
@@ -214,7 +217,9 @@
     log: Log,
     freshness: Mutex<Freshness>,
     /// Of the term in which this replica leads.
-    leases: Mutex<Option<(u64, Leases)>>,
+    leases: Mutex<Option<(u64, Leases, Signs)>>,
+    /// One confirmation of the leader after the other serves all that came before it.
+    confirming: tokio::sync::Mutex<Confirmed>,
     due: Mutex<Due>,
     began: Instant,
     not_ready: watch::Sender<Option<NotReady>>,
@@ -224,6 +229,11 @@
     changing: tokio::sync::Semaphore,
 }
 
+/// When the last confirmation began, and how it came out. Also a failure is shared: those that wait must not each
+/// wait for one of their own.
+#[derive(Default)]
+struct Confirmed(Option<(Instant, Result<(), String>)>);
+
 /// Changes out at once at one leader; more are refused.
 const MOST_CHANGING: usize = 1024;
 
@@ -278,6 +288,7 @@
             log,
             freshness: Mutex::default(),
             leases: Mutex::default(),
+            confirming: tokio::sync::Mutex::default(),
             due: Mutex::default(),
             began: Instant::now(),
             not_ready: watch::Sender::new(Some(NotReady::Stale)),
@@ -436,6 +447,7 @@
             if heard {
                 unheard_since = None;
                 self.expire(term);
+                self.lapse();
             } else if unheard_since.get_or_insert_with(Instant::now).elapsed() > beat * 6
                 && !self.links.hushed()
             {
@@ -448,16 +460,95 @@
 
     /// Runs a look at the leases of this leader's term.
     pub fn leases<T>(&self, look: impl FnOnce(&mut Leases, &Catalogue, Duration) -> T) -> Option<T> {
+        self.in_term(|leases, _| self.view.look(|list| look(leases, list, self.now())))
+    }
+
+    /// The same at the duties, and at who was heard.
+    pub fn signs<T>(&self, look: impl FnOnce(&mut Signs, &Duties, Duration) -> T) -> Option<T> {
+        self.in_term(|_, signs| self.view.duties(|duties| look(signs, duties, self.now())))
+    }
+
+    fn in_term<T>(&self, look: impl FnOnce(&mut Leases, &mut Signs) -> T) -> Option<T> {
         if !self.leads() || !self.led_commits() {
             return None;
         }
         let term = self.raft.metrics().borrow().current_term;
         let mut leases = lock(&self.leases);
-        if leases.as_ref().is_none_or(|(of, _)| *of != term) {
-            *leases = Some((term, Leases::begin(self.settings.expiry_share)));
+        if leases.as_ref().is_none_or(|(of, ..)| *of != term) {
+            *leases = Some((term, Leases::begin(self.settings.expiry_share), Signs::begin(self.now())));
+        }
+        let (_, leases, signs) = leases.as_mut()?;
+        Some(look(leases, signs))
+    }
+
+    /// A majority has taken this replica for its leader since the call began: nobody else can have begun to count
+    /// leases before it.
+    ///
+    /// # Errors
+    /// It may lead no more.
+    pub async fn confirm_lead(&self) -> Result<(), Unacknowledged> {
+        let asked = Instant::now();
+        let mut last = self.confirming.lock().await;
+        if last.0.as_ref().is_none_or(|(began, _)| *began < asked) {
+            let began = Instant::now();
+            let time = Duration::from_millis(self.settings.heartbeat_ms * 4);
+            let confirmed = match tokio::time::timeout(time, self.raft.ensure_linearizable()).await {
+                Ok(Ok(_)) => Ok(()),
+                Ok(Err(e)) => Err(format!("no majority confirms: {e}")),
+                Err(_) => Err("no majority confirms in time".to_owned()),
+            };
+            last.0 = Some((began, confirmed));
+        }
+        let confirmed = last.0.as_ref().map_or(Ok(()), |(_, confirmed)| confirmed.clone());
+        confirmed.map_err(|why| Unacknowledged::NotRun { why, leader: None })
+    }
+
+    /// Proposes what silence at duties comes to.
+    fn lapse(self: &Arc<Self>) {
+        let at_ms = unix().as_millis() as u64;
+        let looked = self.signs(|signs, duties, now| (signs.look(duties, now), signs.settles(duties, now)));
+        let Some((gone, settles)) = looked else { return };
+        if settles {
+            let replica = Arc::clone(self);
+            tokio::spawn(async move {
+                match replica.change(Command::Duty(DutyCommand::Settle { at_ms })).await {
+                    Ok(_) => tracing::info!("duties are granted again after the restore"),
+                    Err(e) => tracing::warn!("duties stay ungranted after the restore: {e}"),
+                }
+            });
+        }
+        if gone.is_empty() {
+            return;
+        }
+        let replica = Arc::clone(self);
+        tokio::spawn(async move {
+            let command = DutyCommand::Lapse { gone: gone.clone(), at_ms };
+            match replica.change(Command::Duty(command)).await {
+                Ok(_) => replica.say_lapsed(&gone),
+                // Whom it named may be renewed again.
+                Err(Unacknowledged::NotRun { .. }) => {
+                    replica.signs(|signs, _, _| signs.not_proposed(&gone));
+                }
+                Err(e @ Unacknowledged::Unknown(_)) => tracing::warn!("lapse of duties: {e}"),
+            }
+        });
+    }
+
+    fn say_lapsed(&self, gone: &[Gone]) {
+        for one in gone {
+            add(&self.counts.duties_lapsed);
+            let (name, id) = (&one.name, &one.who.id);
+            if one.fence > 0 {
+                let next = self.view.duties(|duties| duties.show(name)).and_then(|duty| duty.holder);
+                let next = next.as_deref().unwrap_or("nobody");
+                tracing::warn!(
+                    "duty {name}: {id} was silent for its lease (fence {}); held by {next}",
+                    one.fence
+                );
+            } else {
+                tracing::info!("duty {name}: {id} was silent for its lease, and waits no more");
+            }
         }
-        let (_, leases) = leases.as_mut()?;
-        Some(self.view.look(|list| look(leases, list, self.now())))
     }
 
     pub fn due(&self) -> Due {
@@ -657,19 +748,25 @@
     format: u32,
     made_ms: u64,
     list: Kept,
+    /// Format 1 has none.
+    #[serde(default)]
+    duties: Duties,
 }
 
-const BACKUP_FORMAT: u32 = 1;
+/// The newest, and the oldest that is read. A reader from before duties must refuse a backup that has them: it would
+/// let their fencing numbers go back.
+const BACKUP_FORMAT: u32 = 2;
+const OLDEST_BACKUP: u32 = 1;
 /// Versions that a restored list leaves out at the least: more than were ever told since the backup.
 const LEAP: u64 = 1 << 32;
 /// Versions left for each second of Unix time: a later restore begins beyond an earlier one's.
 const PER_SECOND: u64 = 1 << 20;
 
-/// Unix time. The only use of the wall clock here: the label of a backup and, with [`LEAP`] below it, the version
-/// at which a restored list begins. Nothing that runs decides by it.
+/// Unix time. The only use of the wall clock here: labels of backups and hand-overs and, with [`LEAP`] below it, the
+/// version at which a restored list begins. Nothing that runs decides by it.
 #[allow(clippy::disallowed_methods)]
-fn unix() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+pub fn unix() -> Duration {
+    shaletrail_client::clock::wall(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
 }
 
 /// The list as a backup.
@@ -677,8 +774,8 @@
 /// # Errors
 /// Only if it can't be written as JSON.
 pub fn backup(view: &View) -> io::Result<Vec<u8>> {
-    let list = view.look(Catalogue::keep);
-    seal(&Backup { format: BACKUP_FORMAT, made_ms: unix().as_millis() as u64, list })
+    let (list, duties) = view.both(|list, duties| (list.keep(), duties.clone()));
+    seal(&Backup { format: BACKUP_FORMAT, made_ms: unix().as_millis() as u64, list, duties })
 }
 
 /// Makes a data folder for one replica from a backup. Its list begins beyond every version ever told; `beyond` is
@@ -705,12 +802,14 @@
     let bytes = fs::read(backup).map_err(io(backup))?;
     let damaged = |what: String| Damaged { file: backup.to_owned(), what };
     let read: Backup = unseal(&bytes).map_err(|e| damaged(e.to_string()))?;
-    if read.format != BACKUP_FORMAT {
-        return Err(damaged(format!("format {BACKUP_FORMAT} expected, got {}", read.format)).into());
+    if !(OLDEST_BACKUP..=BACKUP_FORMAT).contains(&read.format) {
+        let what = format!("format {OLDEST_BACKUP} to {BACKUP_FORMAT} expected, got {}", read.format);
+        return Err(damaged(what).into());
     }
     let list = Catalogue::kept(read.list);
     let version = (list.version() + LEAP).max(unix().as_secs() * PER_SECOND).max(beyond + 1);
     let list = list.restored(version);
+    let duties = read.duties.restored(version, LEAP);
     let id = LogId::new(openraft::CommittedLeaderId::new(1, 1), 1);
     let members = BTreeMap::from([(1, Member { name: name.to_owned(), replica: replica.to_owned() })]);
     let membership = openraft::Membership::new(vec![BTreeSet::from([1])], members);
@@ -719,7 +818,7 @@
         last_membership: StoredMembership::new(Some(id), membership),
         snapshot_id: format!("restored-{version}"),
     };
-    let whole = seal(&Whole { meta, kept: list.keep() });
+    let whole = seal(&Whole { meta, kept: list.keep(), duties });
     let written = whole.and_then(|whole| machine::replace(&folder.path, machine::FILE, &whole));
     written.map_err(io(&folder.path))?;
     folder.identify(&Identity { id: 1, name: name.to_owned(), joining: false })?;
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,6 +4,8 @@
 
 #![deny(unsafe_code)]
 
+pub mod duty;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
