Check the cores of duties by model: lost, late and overtaken messages, slow clocks, pauses, successions

Need: that one candidate believes at a time must not rest on reading.

The checker (stateright, MIT, tests only: explores every order of events on the program's own types) plays Duties, Signs, Tenure and the guard `client::fences::Book`, without a copy: one holder with up to two signs and answers under way that are lost, late or overtaken, a clock that loses a tick in a lease of five, pauses anywhere, a release, changes that come late, old leaders that still answer, proposals that a successor brings in or drops. The second candidate believes and acts from the grant on, which covers every slower one.

--- a/client/src/lib.rs
+++ b/client/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod driver;
 #[cfg(feature = "duty")]
 pub mod duty;
+pub mod fences;
 pub mod follow;
 #[cfg(feature = "duty")]
 pub mod minder;
--- a/registry/src/duties.rs
+++ b/registry/src/duties.rs
@@ -2,7 +2,7 @@
 //! changed by commands in the log's order, without a clock. [`Signs`] is the leader's own: who was heard when. What
 //! silence comes to is one command; signs of life never reach the log.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -387,17 +387,17 @@
 
 /// When this leader heard from whom. Invariant: nobody is proposed to lapse sooner than a full lease after the last
 /// sign that was noted here, and no sign is noted of whom a proposed lapse may still take.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Signs {
     began: Time,
-    heard: HashMap<(String, Candidate), Time>,
-    lapsing: HashSet<Gone>,
+    heard: BTreeMap<(String, Candidate), Time>,
+    lapsing: BTreeSet<Gone>,
 }
 
 impl Signs {
     /// From now on this process leads: whoever is in line has a full lease.
     pub fn begin(now: Time) -> Self {
-        Signs { began: now, heard: HashMap::new(), lapsing: HashSet::new() }
+        Signs { began: now, heard: BTreeMap::new(), lapsing: BTreeSet::new() }
     }
 
     pub fn sign(&mut self, name: &str, who: &Candidate, duties: &Duties, now: Time) -> Sign {
