Prove duties by processes: 16 kinds of faults against a guarded counter, and each hard case by itself

Need: the cores are checked by model; sockets, clocks, signals and processes are not.

lab::guarded is a counter that each holder reads and sets one higher, guarded by fencing numbers, with a log of what it accepted; the checker knows only that log, and is tested with planted breaches. Candidates are `duty run` processes, each link from them to a replica one that can fail; the replicas' wall clocks can be stepped one by one. cli/tests/duties.rs plays holders that are killed, stopped alone or whole, cut off both ways and one way; a change that slept through its lease, with the fence and without it (then the checker finds it); leaders killed while granting, lost answers, a restarted registry, clocks an hour off; transfers, also to one that died; old holders' checkpoints and changes; commands that fail, ignore TERM or leave children; a restore; random faults by seed (LAB_MINUTES for longer); 200 candidates.

--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -49,6 +49,16 @@
     Compare(Compare),
     /// Play a scenario with one figure varied over a range, and look for a cliff
     Sweep(Sweep),
+    /// What a holder does in plays of duties: sets a guarded counter one higher, again and again
+    #[command(hide = true)]
+    Count {
+        #[arg(long)]
+        at: std::net::SocketAddr,
+        #[arg(long, default_value_t = 0)]
+        between_ms: u64,
+        #[arg(long, default_value_t = 5)]
+        pause_ms: u64,
+    },
 }
 
 /// With which node, and where the report goes.
@@ -139,6 +149,10 @@
         }
         Verb::Compare(args) => compare_builds(args).await,
         Verb::Sweep(args) => sweep(args).await,
+        Verb::Count { at, between_ms, pause_ms } => {
+            let (between, pause) = (Duration::from_millis(between_ms), Duration::from_millis(pause_ms));
+            shaletrail_lab::guarded::count(at, between, pause).await.map_err(Failure::Failed)
+        }
     }
 }
 
--- a/cli/tests/lab.rs
+++ b/cli/tests/lab.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output};
 
 use serde_json::Value;
-use shaletrail_lab::process::{wait_for, Folder, Process};
+use shaletrail_lab::process::{children, wait_for, Folder, Process};
 
 fn program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_shaletrail"))
@@ -128,15 +128,6 @@
     kept(&told);
 }
 
-/// Processes whose parent is this one.
-fn children(parent: u32) -> Vec<u32> {
-    let stat = |id: u32| std::fs::read_to_string(format!("/proc/{id}/stat")).ok();
-    let of = |id: u32| stat(id)?.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse::<u32>().ok();
-    let all = std::fs::read_dir("/proc").expect("processes").flatten();
-    let ids = all.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
-    ids.filter(|id| of(*id) == Some(parent)).collect()
-}
-
 #[test]
 fn a_lab_that_dies_leaves_no_process_behind() {
     let folder = Folder::new("lab-dies");
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod conduct;
 pub mod experiment;
 pub mod fleet;
+pub mod guarded;
 pub mod judge;
 pub mod link;
 pub mod machine;
--- a/lab/src/observer.rs
+++ b/lab/src/observer.rs
@@ -156,6 +156,19 @@
     path: &str,
     body: &serde_json::Value,
 ) -> Result<Changed, ChangeError> {
+    send(endpoints, method, path, body)
+}
+
+/// The same with whatever answer.
+///
+/// # Errors
+/// As the client has it.
+pub fn send<A: serde::de::DeserializeOwned>(
+    endpoints: &[SocketAddr],
+    method: Method,
+    path: &str,
+    body: &serde_json::Value,
+) -> Result<A, ChangeError> {
     let mut changes = Changes::new(endpoints.to_vec());
     runtime().block_on(changes.put(method, path, body, Duration::from_secs(30)))
 }
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -69,6 +69,29 @@
     }
 }
 
+/// Processes whose parent is this one.
+pub fn children(parent: u32) -> Vec<u32> {
+    by_field(1, parent)
+}
+
+/// Processes in this group that have not ended.
+pub fn group(leader: u32) -> Vec<u32> {
+    by_field(2, leader)
+}
+
+/// Those with this number in a field of `stat` behind the name: the state, the parent, the group.
+fn by_field(field: usize, number: u32) -> Vec<u32> {
+    let of = |id: u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let found = fields.get(field)?.parse::<u32>().ok()?;
+        (fields[0] != "Z").then_some(found)
+    };
+    let all = std::fs::read_dir("/proc").into_iter().flatten().flatten();
+    let ids = all.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
+    ids.filter(|id| of(*id) == Some(number)).collect()
+}
+
 /// A running program. Its standard error goes to a file.
 pub struct Process {
     child: Child,
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -500,6 +500,7 @@
     include_str!("../scenarios/calm.toml"),
     include_str!("../scenarios/overload.toml"),
     include_str!("../scenarios/flash-crowd.toml"),
+    include_str!("../scenarios/hot-key.toml"),
     include_str!("../scenarios/rolling-replacement.toml"),
     include_str!("../scenarios/drain.toml"),
     include_str!("../scenarios/zone-lost.toml"),
@@ -516,6 +517,7 @@
     include_str!("../scenarios/reads-fail.toml"),
     include_str!("../scenarios/mass-restart.toml"),
     include_str!("../scenarios/cold-rush.toml"),
+    include_str!("../scenarios/cold-deep.toml"),
     include_str!("../scenarios/scale.toml"),
 ];
 
--- a/lab/src/service.rs
+++ b/lab/src/service.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
+use shaletrail_client::clock::WALL_STEP;
+
 use crate::link::{Link, Way};
 use crate::observer::get;
 use crate::process::{wait_for, Folder, Process};
@@ -92,6 +94,7 @@
         let mut command = Command::new(&self.program);
         command.args(["registry", "--config"]).arg(self.folder.0.join(SETTINGS));
         command.args(["--name", &place.name, "--data"]).arg(&place.data);
+        command.env(WALL_STEP, self.wall(n));
         command.args(["--discovery", &place.discovery.to_string(), "--ops", &place.ops.to_string()]);
         if self.places.len() > 1 {
             let peer = |to: usize| {
@@ -104,6 +107,11 @@
         command
     }
 
+    /// Where a play steps the wall clock of this replica.
+    pub fn wall(&self, n: usize) -> PathBuf {
+        self.folder.0.join(format!("{}.wall", self.places[n].name))
+    }
+
     pub fn log(&self, n: usize) -> PathBuf {
         self.folder.0.join(format!("{}.log", self.places[n].name))
     }
--- a/wire/src/duty.rs
+++ b/wire/src/duty.rs
@@ -10,7 +10,7 @@
 /// Where duties are found, at the operators' address.
 pub const DUTIES: &str = "/registry/duties";
 /// Shortest and longest lease of a duty, in seconds. After a restore nothing is granted for the longest.
-pub const LEASE_S: RangeInclusive<f64> = 0.5..=60.0;
+pub const LEASE_S: RangeInclusive<f64> = 0.5..=30.0;
 /// Longest that a renewal waits for news.
 pub const LONGEST_HOLD: Duration = Duration::from_secs(3);
 /// Most bytes of a checkpoint.
