Refuse an old holder of a duty at the node's door

Need: what a duty's holder changes must be refused to one that slept through its lease; the registry does so, the node's door did not know fences.

A POST at the door may carry X-Duty and X-Fence. The highest number of each duty is kept in $TMPDIR/duty-fences.json (checksum, rename, a lock between two processes of the node) before the change is made; an older one gets 412, half a fence 400, and a number that can't be kept 503 with nothing changed. Calls without the headers are as before, and touch no file.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,6 +7,7 @@
 mod byhand;
 mod config;
 mod discovery;
+mod fences;
 mod figures;
 mod handle;
 mod host;
@@ -27,6 +28,7 @@
 
 use config::Config;
 use discovery::Discovery;
+use fences::Fences;
 use figures::Figures;
 use handle::Handle;
 use host::Host;
@@ -92,7 +94,8 @@
         eprintln!("TMPDIR is not set: a second process would not share this one's limits");
     }
     if let Some(door) = door {
-        let calls = Door { host: Rc::clone(&host), lifecycle: Rc::clone(&lifecycle) };
+        let fences = Fences::new(config.folder.as_deref());
+        let calls = Door { host: Rc::clone(&host), lifecycle: Rc::clone(&lifecycle), fences };
         spawn_local(ops::serve(door, calls));
         spawn_local(Rc::clone(&host).follow_by_hand());
     }
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -15,11 +15,14 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mallowpaddle::ServerId;
 use percent_encoding::percent_decode_str;
+use shaletrail_client::fences::Barred;
+use shaletrail_wire::duty::{Fence, DUTY_HEADER, FENCE_HEADER};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, timeout};
 
 use crate::config::MOST_CALLERS;
+use crate::fences::{Fences, Refused};
 use crate::host::Host;
 use crate::lifecycle::{Lifecycle, State};
 
@@ -35,6 +38,7 @@
 pub struct Door {
     pub host: Rc<Host>,
     pub lifecycle: Rc<Lifecycle>,
+    pub fences: Fences,
 }
 
 /// Answers operators for as long as the node runs.
@@ -145,6 +149,9 @@
             }
             return response;
         }
+        if let Some(refusal) = self.barred(request).filter(|_| method == Method::POST) {
+            return refusal;
+        }
         match call {
             Call::Ready => self.ready(),
             Call::Metrics => self.metrics(),
@@ -154,6 +161,28 @@
         }
     }
 
+    /// The refusal of a change under a duty's old fencing number. Calls without one are an operator's own.
+    fn barred(&self, request: &Request<Incoming>) -> Option<Response<Full<Bytes>>> {
+        let header = |name| request.headers().get(name).map(|value| value.to_str().unwrap_or("not text"));
+        let fence = match Fence::read(header(DUTY_HEADER), header(FENCE_HEADER)) {
+            Ok(fence) => fence?,
+            Err(e) => return Some(answer(StatusCode::BAD_REQUEST, format!("{e}\n"))),
+        };
+        match self.fences.admit(&fence) {
+            Ok(()) => None,
+            Err(Refused::Barred(barred @ Barred::Old { .. })) => {
+                Some(answer(StatusCode::PRECONDITION_FAILED, format!("{barred}\n")))
+            }
+            Err(Refused::Barred(barred @ Barred::Full)) => {
+                Some(answer(StatusCode::SERVICE_UNAVAILABLE, format!("{barred}\n")))
+            }
+            Err(Refused::NotKept(e)) => {
+                let what = format!("fencing number not kept, so nothing is changed: {e}\n");
+                Some(answer(StatusCode::SERVICE_UNAVAILABLE, what))
+            }
+        }
+    }
+
     fn hand(&self, server: &ServerId, out: bool) -> Response<Full<Bytes>> {
         let now = if out { "out" } else { "in use" };
         match self.host.set_by_hand(server, out) {
--- a/node/tests/ops.rs
+++ b/node/tests/ops.rs
@@ -50,6 +50,23 @@
     assert!(cache.requests.try_recv().is_err(), "a call went on to a server");
 }
 
+#[test]
+fn the_door_refuses_an_old_holder_of_a_duty_and_half_a_fence() {
+    let (node, _discovery) = start(&[entry("s-1", refusing(), "active")]);
+    let under = |fence: &str| {
+        let mut operator = node.operator();
+        operator.write(&format!("POST /-/cache-servers/s-1/disable HTTP/1.1\r\nHost: door\r\n{fence}\r\n"));
+        operator.read().map(|answer| answer.status())
+    };
+    assert_eq!(under("X-Duty: release\r\nX-Fence: 7\r\n"), Some(200));
+    assert_eq!(under("X-Duty: release\r\nX-Fence: 6\r\n"), Some(412));
+    assert_eq!(under("X-Duty: backup\r\nX-Fence: 6\r\n"), Some(200), "each duty has its own");
+    for half in ["X-Duty: release\r\n", "X-Fence: 9\r\n", "X-Duty: release\r\nX-Fence: many\r\n"] {
+        assert_eq!(under(half), Some(400), "{half}");
+    }
+    assert_eq!(under(""), Some(200), "an operator's own call needs none");
+}
+
 #[test]
 fn callers_that_hold_connections_shut_no_operator_out() {
     let (node, _discovery) = start(&[entry("s-1", refusing(), "active")]);
