Run the registry's backups and its word on expiry as duties: shaletrail registry keeper

Need: both were an operator's errands; by a timer on several hosts they would be done twice, by one host not at all when it dies.

client::duty::serve does work whenever a duty is held; client::keeper has two: backups on schedule (checkpoint: when, file, length; whole files by rename, old ones pruned), and stopped expiry, where it asks each silent server itself: if none answers, twice in a row, and most of the others do, it gives the word under its fence. One that answers, or a keeper that reaches nobody, leaves it stopped, with the reason in one line. GET /registry/expiry names both groups. An old holder's word is refused.

Result: two keepers, SIGKILL of the holder: the other goes on with the schedule; three servers gone expire by the keeper's word; three that answer while their agents are silent stay.

--- a/cli/src/registry.rs
+++ b/cli/src/registry.rs
@@ -9,10 +9,12 @@
 use clap::Subcommand;
 use serde_json::{json, Value};
 use shaletrail_client::changes::{ChangeError, Changes};
+use shaletrail_client::duty::{serve, Seat};
+use shaletrail_client::keeper::{self, Backups};
 use shaletrail_registry::{restore, Folder, Options, ServiceError};
 use shaletrail_wire::{Confirm, Confirmed, Status, LONGEST_LIST};
 
-use crate::{config, stopped, Failure};
+use crate::{config, duty, stopped, Failure};
 
 #[derive(clap::Args)]
 #[command(args_conflicts_with_subcommands = true)]
@@ -80,6 +82,30 @@
         #[command(flatten)]
         service: Service,
     },
+    /// Look after the service: take backups on schedule, and let silent entries expire whose servers are found gone.
+    /// Any number may run; each of the two duties is held by one of them
+    Keeper {
+        #[command(flatten)]
+        service: Service,
+        /// Folder for backups; without it none are taken
+        #[arg(long)]
+        backups: Option<PathBuf>,
+        /// Seconds between two backups
+        #[arg(long, default_value_t = 86_400.0)]
+        every_s: f64,
+        /// Backups that stay
+        #[arg(long, default_value_t = 7)]
+        keep: usize,
+        /// Leave it to operators to let silent entries expire
+        #[arg(long)]
+        no_expiry: bool,
+        /// Seconds after which another keeper takes over when this one is silent
+        #[arg(long, default_value_t = 10.0)]
+        lease_s: f64,
+        /// How operators see this keeper; without it the host's name and the process's number
+        #[arg(long)]
+        id: Option<String>,
+    },
     /// Write a backup of the list
     Backup {
         file: PathBuf,
@@ -143,6 +169,37 @@
             println!("{} entries may expire", told.expired);
             Ok(())
         }
+        Some(Verb::Keeper { service, backups, every_s, keep, no_expiry, lease_s, id }) => {
+            let every = Duration::try_from_secs_f64(every_s).ok().filter(|every| !every.is_zero());
+            let every = every.ok_or_else(|| Failure::Wrong("--every-s: over 0 seconds expected".into()))?;
+            if keep == 0 || backups.is_none() && no_expiry {
+                return Err(Failure::Wrong("--backups or expiry expected, and --keep of 1 or more".into()));
+            }
+            let plan = backups.map(|folder| Backups { folder, every, keep });
+            if let Some(plan) = &plan {
+                std::fs::create_dir_all(&plan.folder)
+                    .map_err(|e| Failure::Failed(format!("{}: {e}", plan.folder.display())))?;
+            }
+            let id = id.unwrap_or_else(duty::own_id);
+            let seat = |name| Seat::new(service.registry.clone(), name, &id, duty::life(), lease_s);
+            let (mut taking, mut confirming) = (
+                seat(keeper::BACKUP).map_err(Failure::wrong)?,
+                seat(keeper::EXPIRY).map_err(Failure::wrong)?,
+            );
+            let say = |what: String| tracing::info!("{what}");
+            let backing_up = async {
+                let Some(plan) = &plan else { return Ok(()) };
+                serve(&mut taking, stopped(), say, async |held| keeper::back_up(held, plan, say).await).await
+            };
+            let expiring = async {
+                if no_expiry {
+                    return Ok(());
+                }
+                serve(&mut confirming, stopped(), say, async |held| keeper::confirm(held, say).await).await
+            };
+            let (backups, expiry) = tokio::join!(backing_up, expiring);
+            backups.and(expiry).map_err(Failure::failed)
+        }
         Some(Verb::Backup { file, service }) => backup(&file, service).await,
         Some(Verb::Restore { file, data, name, replica, beyond }) => {
             let folder = Folder::hold(&data).map_err(Failure::failed)?;
@@ -223,18 +280,7 @@
 }
 
 async fn backup(file: &std::path::Path, service: Service) -> Result<(), Failure> {
-    let body = Changes::new(service.registry).get("/registry/backup", LONGEST_LIST * 4).await;
-    let body = body.map_err(Failure::failed)?;
-    let failed = |e: std::io::Error| Failure::Failed(format!("{}: {e}", file.display()));
-    let mut new = file.as_os_str().to_owned();
-    new.push(".new");
-    let write = || {
-        let mut writing = std::fs::File::create(&new)?;
-        writing.write_all(&body)?;
-        writing.sync_all()?;
-        std::fs::rename(&new, file)
-    };
-    write().map_err(failed)?;
-    println!("{}: {} bytes", file.display(), body.len());
+    let bytes = keeper::save(&mut Changes::new(service.registry), file).await.map_err(Failure::failed)?;
+    println!("{}: {bytes} bytes", file.display());
     Ok(())
 }
--- a/cli/tests/duties.rs
+++ b/cli/tests/duties.rs
@@ -435,6 +435,76 @@
     play.judge("restored");
 }
 
+#[test]
+fn keepers_take_backups_one_at_a_time_and_let_only_those_expire_that_are_gone() {
+    let service = Service::start(program(), "keepers", 3);
+    let ops = service.ops();
+    let addrs: Vec<String> = ops.iter().map(ToString::to_string).collect();
+    let folder = service.folder.0.join("backups");
+    let keeper = |id: &str| {
+        let mut command = Command::new(program());
+        command.args(["registry", "keeper", "--registry", &addrs.join(","), "--id", id, "--lease-s", "1"]);
+        command.args(["--every-s", "0.5", "--keep", "3", "--backups"]).arg(&folder);
+        Process::start(&mut command, &service.folder.0.join(id))
+    };
+    let mut keepers = [keeper("k0"), keeper("k1")];
+    let backups = || {
+        let entries = std::fs::read_dir(&folder).into_iter().flatten().flatten();
+        let mut names: Vec<String> = entries.map(|e| e.file_name().to_string_lossy().into_owned()).collect();
+        names.retain(|name| name.ends_with(".backup"));
+        names.sort();
+        names
+    };
+    let show = |name: &str| get(ops[0], &duty_path(name, "")).ok();
+    let first = wait_for("backups", || (backups().len() == 3).then(|| backups()[0].clone()));
+    let holder = wait_for("a holder", || show("registry-backup")?["holder"].as_str().map(str::to_owned));
+    keepers[usize::from(holder == "k1")].kill();
+    wait_for("the other one takes them", || {
+        let duty = show("registry-backup")?;
+        let newest = backups().last().cloned()?;
+        let fence = format!("registry-{:020}", duty["fence"].as_u64()?);
+        (duty["holder"].as_str().is_some_and(|id| id != holder) && newest.starts_with(&fence)).then_some(())
+    });
+    wait_for("old ones go", || (!backups().contains(&first) && backups().len() <= 4).then_some(()));
+    // A backup is one: it can be restored.
+    let newest = folder.join(backups().pop().expect("a backup"));
+    let data = service.folder.0.join("restored");
+    let out =
+        run(&["registry", "restore", &newest.display().to_string(), "--data", &data.display().to_string()]);
+    assert!(out.status.success(), "{}", said(&out));
+    // Servers that answer while their agents are silent stay; those that are gone go, with a keeper's word.
+    let there = Guarded::start(true);
+    let gone = shaletrail_lab::service::free();
+    let register = |id: &str, addr: SocketAddr, lease: Option<f64>| {
+        let mut body = json!({"addr": addr.to_string()});
+        if let Some(lease) = lease {
+            body["lease_s"] = json!(lease);
+        }
+        let path = shaletrail_client::changes::entry_path(id, "");
+        send::<Value>(&ops, Method::PUT, &path, &body).expect("registered");
+    };
+    for n in 0..5 {
+        register(&format!("other{n}"), there.addr, None);
+    }
+    for n in 0..3 {
+        register(&format!("gone{n}"), gone, Some(1.0));
+    }
+    let ids = || -> Vec<String> {
+        let list = service.discovery().iter().find_map(|addr| get(*addr, "/registry/instances").ok());
+        let servers =
+            list.map(|list| list["servers"].as_array().cloned().unwrap_or_default()).unwrap_or_default();
+        servers.iter().filter_map(|server| server["id"].as_str().map(str::to_owned)).collect()
+    };
+    wait_for("those that are gone expire", || (ids().len() == 5).then_some(()));
+    for n in 0..3 {
+        register(&format!("cut{n}"), there.addr, Some(1.0));
+    }
+    let log = || keepers.iter().map(Process::log).collect::<String>();
+    wait_for("the keeper says why they stay", || log().contains("their agents are cut off").then_some(()));
+    assert!(log().contains("3 servers are gone and may expire"), "{}", log());
+    assert_eq!(ids().len(), 8, "{:?}", ids());
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     KillHolder,
--- a/client/src/duty.rs
+++ b/client/src/duty.rs
@@ -1,6 +1,9 @@
 //! Holding a duty: a place in line, signs of life, and the end of a tenure in time. Gives `tenure` sockets and a clock.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
@@ -8,7 +11,7 @@
     check_lease, Acquire, Candidate, Checkpoint, Duty, Fence, Kept, Release, Renew, Standing, Why,
     LONGEST_HOLD, MOST_EXACT,
 };
-use shaletrail_wire::{check_id, Invalid};
+use shaletrail_wire::{check_id, Invalid, LONGEST_CALL};
 use tokio::time::sleep;
 
 use crate::changes::{duty_path, ChangeError, Changes};
@@ -51,6 +54,16 @@
     Clock,
 }
 
+impl Ended {
+    pub fn words(self) -> &'static str {
+        match self {
+            Ended::Asked => "stopped on request, and handed over",
+            Ended::Lost => "the registry has passed it on; stopped",
+            Ended::Clock => "no answer within the lease; stopped",
+        }
+    }
+}
+
 /// A place in the line for one duty.
 pub struct Seat {
     changes: Changes,
@@ -61,6 +74,8 @@
     /// Draws pauses.
     chance: u64,
     give_way: bool,
+    /// The end of what this process may believe, in milliseconds of the boot-time clock; 0 where it holds nothing.
+    until: Arc<AtomicU64>,
 }
 
 impl Seat {
@@ -87,6 +102,7 @@
             chance: who.life | 1,
             who,
             give_way: false,
+            until: Arc::default(),
         })
     }
 
@@ -124,6 +140,17 @@
 
     /// One sign of life, answered at news or after `hold`.
     async fn sign(&mut self, hold: Duration) -> Result<News, ChangeError> {
+        let news = self.put_sign(hold).await;
+        self.show_until();
+        news
+    }
+
+    fn show_until(&self) {
+        let until = self.holds().and(self.ends()).map_or(0, |(until, _)| until.as_millis() as u64);
+        self.until.store(until, Ordering::Release);
+    }
+
+    async fn put_sign(&mut self, hold: Duration) -> Result<News, ChangeError> {
         let sent = boot();
         let lease = self.tenure.lease();
         let time = hold + (lease / CALL_PART).max(LEAST_CALL);
@@ -216,6 +243,7 @@
     /// Out of the line; whatever ran under the tenure has stopped. Tried for as long as it is of use: the lease does
     /// the same. The next candidacy is another life.
     pub async fn release(&mut self, why: Why) {
+        self.until.store(0, Ordering::Release);
         let question = Release { who: self.who.clone(), why };
         let (path, lease) = (duty_path(&self.name, "release"), self.tenure.lease());
         if self.joined {
@@ -223,6 +251,36 @@
         }
         self.who.life = (self.who.life + 1) % MOST_EXACT;
         (self.joined, self.give_way, self.tenure) = (false, false, Tenure::new(lease));
+        // Handles of the last tenure keep what they have: that it is over.
+        self.until = Arc::default();
+    }
+
+    /// What a holder's work goes by, beside the renewals.
+    pub fn held(&self) -> Option<Held> {
+        let fence = self.fence()?;
+        let mut changes = Changes::new(self.endpoints().to_vec());
+        changes.under(Some(&fence));
+        Some(Held { fence, lease: self.tenure.lease(), until: Arc::clone(&self.until), changes })
+    }
+}
+
+/// A tenure as the work that is done in it sees it.
+pub struct Held {
+    pub fence: Fence,
+    lease: Duration,
+    until: Arc<AtomicU64>,
+    /// Its changes carry the fence.
+    pub changes: Changes,
+}
+
+impl Held {
+    /// Whether this process may still act, by its own clock.
+    pub fn holds(&self) -> bool {
+        boot().as_millis() < u128::from(self.until.load(Ordering::Acquire))
+    }
+
+    fn failed(&self, error: ChangeError) -> DutyError {
+        DutyError::Change { duty: self.fence.duty.clone(), error }
     }
 
     /// What the last holder left.
@@ -230,11 +288,9 @@
     /// # Errors
     /// The last endpoint's trouble.
     pub async fn left(&mut self) -> Result<Kept, DutyError> {
-        let path = duty_path(&self.name, "checkpoint");
-        let failed = |error| DutyError::Change { duty: self.name.clone(), error };
-        let body = self.changes.get(&path, shaletrail_wire::LONGEST_CALL).await.map_err(failed)?;
-        serde_json::from_slice(&body)
-            .map_err(|e| DutyError::Change { duty: self.name.clone(), error: ChangeError::Unusable(e) })
+        let path = duty_path(&self.fence.duty, "checkpoint");
+        let body = self.changes.get(&path, LONGEST_CALL).await.map_err(|e| self.failed(e))?;
+        serde_json::from_slice(&body).map_err(|e| self.failed(e.into()))
     }
 
     /// Leaves this in place of the version `expect`. May be put twice.
@@ -242,14 +298,61 @@
     /// # Errors
     /// An old holder, or another version than the last.
     pub async fn leave(&mut self, expect: u64, data: &str) -> Result<Kept, DutyError> {
-        let fence = self.holds().ok_or_else(|| DutyError::Over(self.name.clone()))?;
-        let question = Checkpoint { fence, expect, data: data.to_owned() };
-        let (path, time) = (duty_path(&self.name, "checkpoint"), self.tenure.lease());
-        let kept = self.changes.put(Method::PUT, &path, &question, time).await;
+        if !self.holds() {
+            return Err(DutyError::Over(self.fence.duty.clone()));
+        }
+        let question = Checkpoint { fence: self.fence.fence, expect, data: data.to_owned() };
+        let path = duty_path(&self.fence.duty, "checkpoint");
+        // The call itself names its fence, and is no change of the list.
+        let mut changes = Changes::new(self.changes.endpoints().to_vec());
+        let kept = changes.put(Method::PUT, &path, &question, self.lease).await;
         kept.map_err(|error| match error {
-            ChangeError::Refused { why, .. } => DutyError::Refused { duty: self.name.clone(), why },
-            error => DutyError::Change { duty: self.name.clone(), error },
+            ChangeError::Refused { why, .. } => DutyError::Refused { duty: self.fence.duty.clone(), why },
+            error => self.failed(error),
+        })
+    }
+}
+
+/// Does some work whenever the duty is held, until `stop`. Work that the tenure ends under is dropped where it waits; it is
+/// begun anew under the next one.
+///
+/// # Errors
+/// Where the registry refuses the candidate.
+pub async fn serve(
+    seat: &mut Seat,
+    stop: impl Future<Output = ()>,
+    mut say: impl FnMut(String),
+    mut work: impl AsyncFnMut(Held),
+) -> Result<(), DutyError> {
+    tokio::pin!(stop);
+    loop {
+        let won = tokio::select! {
+            won = seat.win(&mut say) => Some(won?),
+            () = &mut stop => None,
+        };
+        let Some(held) = won.and_then(|_| seat.held()) else {
+            seat.release(Why::Released).await;
+            if won.is_none() {
+                return Ok(());
+            }
+            continue;
+        };
+        say(format!("{}: held under fence {}", held.fence.duty, held.fence.fence));
+        let ended = tokio::select! {
+            ended = seat.keep(|_, _| {}) => Some(ended),
+            () = work(held) => None,
+            () = &mut stop => {
+                seat.release(Why::Released).await;
+                return Ok(());
+            }
+        };
+        say(format!("{}: {}", seat.name(), ended.map_or("done", Ended::words)));
+        seat.release(match ended {
+            Some(Ended::Asked) => Why::Asked,
+            Some(_) => Why::Lapsed,
+            None => Why::Released,
         })
+        .await;
     }
 }
 
--- a/client/src/lib.rs
+++ b/client/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod fences;
 pub mod follow;
 #[cfg(feature = "duty")]
+pub mod keeper;
+#[cfg(feature = "duty")]
 pub mod minder;
 #[cfg(feature = "duty")]
 pub mod tenure;
--- a/client/src/minder.rs
+++ b/client/src/minder.rs
@@ -241,11 +241,7 @@
                 return Ok(finished);
             }
             Ok(Over::Ended(ended)) => {
-                say(match ended {
-                    Ended::Asked => format!("{name}: stopped on request, and handed over"),
-                    Ended::Lost => format!("{name}: the registry has passed it on; stopped"),
-                    Ended::Clock => format!("{name}: no answer within the lease; stopped"),
-                });
+                say(format!("{name}: {}", ended.words()));
                 seat.release(if ended == Ended::Asked { Why::Asked } else { Why::Lapsed }).await;
             }
         }
--- a/registry/src/changing.rs
+++ b/registry/src/changing.rs
@@ -14,8 +14,8 @@
 use shaletrail_client::call::{Call, Line};
 use shaletrail_wire::duty::{Fence, DUTIES, DUTY_HEADER, FENCE_HEADER};
 use shaletrail_wire::{
-    check_id, Changed, Confirm, Confirmed, Join, Register, RenewMany, Renewed, Stamp, INSTANCES,
-    LONGEST_CALL, MOST_RENEWED, NOT_RUN,
+    check_id, Changed, Confirm, Confirmed, Entry, Expiry, Join, Listed, Register, RenewMany, Renewed, Stamp,
+    INSTANCES, LONGEST_CALL, MOST_RENEWED, NOT_RUN,
 };
 
 use crate::catalogue::{Command, Outcome, Refused};
@@ -63,6 +63,7 @@
     Backup,
     RenewMany,
     Confirm,
+    Expiry,
     Replicas,
     Replica(&'a str),
     Promote(&'a str),
@@ -81,6 +82,7 @@
             "/registry/backup" => Named::Backup,
             "/registry/renew" => Named::RenewMany,
             "/registry/expiry/confirm" => Named::Confirm,
+            "/registry/expiry" => Named::Expiry,
             "/registry/replicas" => Named::Replicas,
             path => {
                 if let Some(rest) = path.strip_prefix("/registry/replicas/") {
@@ -108,7 +110,7 @@
         const GET: &[Method] = &[Method::GET];
         const POST: &[Method] = &[Method::POST];
         match self {
-            Named::Ready | Named::Metrics | Named::Status | Named::Backup => GET,
+            Named::Ready | Named::Metrics | Named::Status | Named::Backup | Named::Expiry => GET,
             Named::RenewMany | Named::Confirm | Named::Replicas | Named::Promote(_) => POST,
             Named::Renew(_) | Named::Leaving(_) => POST,
             Named::Replica(_) => &[Method::DELETE],
@@ -157,6 +159,7 @@
         Named::Renew(id) => renew(replica, id, &asked.body),
         Named::RenewMany => renew_many(replica, &asked.body),
         Named::Confirm => confirm(replica, &asked.body, fence).await,
+        Named::Expiry => expiry(replica),
         Named::Replicas => number(replica, &asked.body).await,
         Named::Promote(id) => promote(replica, id, &asked.body).await,
         Named::Replica(name) => remove(replica, name).await,
@@ -354,6 +357,21 @@
     Ok(json(StatusCode::OK, &renewed))
 }
 
+/// Others that a call on stopped expiry names.
+const OTHERS: usize = 8;
+
+fn expiry(replica: &Replica) -> Done {
+    replica.may_change()?;
+    let stopped = replica.due().stopped;
+    let told = replica.view.look(|list| {
+        let listed = |entry: &Entry| Listed { id: entry.id.clone(), addr: entry.addr };
+        let named = stopped.iter().filter_map(|id| list.get(id)).map(|held| listed(&held.entry));
+        let others = list.entries().map(|held| &held.entry).filter(|entry| !stopped.contains(&entry.id));
+        Expiry { stopped: named.collect(), others: others.take(OTHERS).map(listed).collect() }
+    });
+    Ok(json(StatusCode::OK, &told))
+}
+
 async fn confirm(replica: &Replica, body: &[u8], fence: Option<&Fence>) -> Done {
     let asked: Confirm = parse(body)?;
     replica.may_change()?;
--- a/registry/src/leases.rs
+++ b/registry/src/leases.rs
@@ -30,6 +30,8 @@
     pub expire: Vec<(String, u64)>,
     /// Due, but too many are silent at once.
     pub held: usize,
+    /// Who they are.
+    pub stopped: Vec<String>,
     /// Silent for most of a lease, those included.
     pub silent: usize,
     /// So many may be silent before expiry stops.
@@ -113,14 +115,15 @@
             self.confirmed = 0;
         }
         let held = due.len() - go;
+        let stopped = due.split_off(go).into_iter().map(|(id, ..)| id).collect();
         let mut expire = Vec::with_capacity(go);
-        for (id, version, lease, _) in due.into_iter().take(go) {
+        for (id, version, lease, _) in due {
             self.lapsed.push((now, lease));
             // Proposed once a lease, should the proposal come to nothing.
             self.leases.insert(id.clone(), Lease { renewed: now, version });
             expire.push((id, version));
         }
-        Due { expire, held, silent, most }
+        Due { expire, held, stopped, silent, most }
     }
 
     fn last_sign(&mut self, held: &Held, now: Time) -> Time {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -275,6 +275,20 @@
     pub expired: usize,
 }
 
+/// `GET /registry/expiry`: whose expiry is stopped, and some others to tell a cut from an end by.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Expiry {
+    pub stopped: Vec<Listed>,
+    pub others: Vec<Listed>,
+}
+
+/// One entry by name and address.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    pub id: String,
+    pub addr: SocketAddr,
+}
+
 /// `POST /registry/replicas`: add this replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
