Measure duties: shaletrail bench duty

Need: hand-overs and the registry's load are to be known against what the settings imply, not guessed.

Two duty run processes on three replicas, twenty hand-overs for each cause, at a drawn point of a renewal; from the cause to the next command's first call at a guarded counter. Calls are counted at the leader, in leases of 10 s, with the log's growth.

--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -5,6 +5,8 @@
 use clap::Subcommand;
 use indicatif::ProgressBar;
 use shaletrail_lab::bench::{registry, Size, Spread};
+use shaletrail_lab::bench_duty;
+use shaletrail_wire::duty::check_lease;
 
 use crate::Failure;
 
@@ -18,6 +20,27 @@
 enum Verb {
     /// Measure the list service against a plain list in memory
     Registry(Registry),
+    /// Measure hand-overs of a duty, and the calls that candidates make
+    Duty(Duty),
+}
+
+#[derive(clap::Args)]
+struct Duty {
+    /// Hand-overs of each kind
+    #[arg(long, default_value_t = 20)]
+    times: usize,
+    /// The duty's lease
+    #[arg(long, default_value_t = 1.0)]
+    lease_s: f64,
+    /// Seconds for which calls are counted, in each state
+    #[arg(long, default_value_t = 10.0)]
+    count_s: f64,
+    /// Draws at which point of a renewal a cause comes
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// One JSON object instead of text
+    #[arg(long)]
+    json: bool,
 }
 
 #[derive(clap::Args)]
@@ -46,7 +69,64 @@
 }
 
 pub async fn run(args: Args) -> Result<(), Failure> {
-    let Verb::Registry(args) = args.verb;
+    match args.verb {
+        Verb::Registry(args) => run_registry(args).await,
+        Verb::Duty(args) => run_duty(args).await,
+    }
+}
+
+/// What is being measured, on a terminal or in the log.
+struct Progress(ProgressBar);
+
+impl Progress {
+    fn new() -> Self {
+        // Hidden where standard error is no terminal.
+        let bar = ProgressBar::new_spinner();
+        bar.enable_steady_tick(Duration::from_millis(500));
+        Progress(bar)
+    }
+
+    fn say(&self, what: &str) {
+        if self.0.is_hidden() {
+            tracing::info!("{what}");
+        }
+        self.0.set_message(what.to_owned());
+    }
+}
+
+fn spread(s: &Spread) -> String {
+    format!("{:.1} ({:.1} to {:.1}, {} times)", s.median, s.least, s.most, s.count)
+}
+
+async fn run_duty(args: Duty) -> Result<(), Failure> {
+    check_lease(args.lease_s).map_err(Failure::wrong)?;
+    if args.times == 0 || args.count_s <= 0.0 {
+        return Err(Failure::Wrong("--times, --count-s: over 0 expected".into()));
+    }
+    let size =
+        bench_duty::Size { times: args.times, lease_s: args.lease_s, count_s: args.count_s, seed: args.seed };
+    let program = std::env::current_exe().map_err(Failure::failed)?;
+    let progress = Progress::new();
+    let measured =
+        tokio::task::spawn_blocking(move || bench_duty::duty(&program, size, |what| progress.say(what)));
+    let report = measured.await.map_err(Failure::failed)?;
+    if args.json {
+        println!("{}", serde_json::to_string(&report).map_err(Failure::failed)?);
+        return Ok(());
+    }
+    println!("machine: {}\nseed {}, leases of {} s", report.machine, report.size.seed, report.size.lease_s);
+    println!("from the cause to the next holder's first call, ms:");
+    for kind in &report.hand_overs {
+        println!("  {}: {}, bound {:.0}", kind.cause, spread(&kind.ms), kind.bound_ms);
+    }
+    println!("calls a second at the registry, leases of 10 s:");
+    for calls in &report.calls {
+        println!("  {}: {:.1}; the log grew by {}", calls.state, calls.per_s, calls.log_entries);
+    }
+    Ok(())
+}
+
+async fn run_registry(args: Registry) -> Result<(), Failure> {
     if args.servers == 0 || args.watchers == 0 || args.history == 0 {
         return Err(Failure::Wrong("--servers, --watchers, --history: 1 or more expected".into()));
     }
@@ -61,23 +141,14 @@
         churn_s: args.churn_s,
     };
     let program = std::env::current_exe().map_err(Failure::failed)?;
-    // Hidden where standard error is no terminal.
-    let bar = ProgressBar::new_spinner();
-    bar.enable_steady_tick(Duration::from_millis(500));
-    let say = |what: &str| {
-        if bar.is_hidden() {
-            tracing::info!("{what}");
-        }
-        bar.set_message(what.to_owned());
-    };
-    let report = registry(&program, size, args.seed, say).await;
-    bar.finish_and_clear();
+    let progress = Progress::new();
+    let report = registry(&program, size, args.seed, |what| progress.say(what)).await;
+    progress.0.finish_and_clear();
     let report = report.map_err(Failure::failed)?;
     if args.json {
         println!("{}", serde_json::to_string(&report).map_err(Failure::failed)?);
         return Ok(());
     }
-    let spread = |s: &Spread| format!("{:.1} ({:.1} to {:.1}, {} times)", s.median, s.least, s.most, s.count);
     println!("machine: {}\nseed {}, {:?}", report.machine, report.seed, report.size);
     for form in &report.forms {
         println!("{}", form.form);
--- a/lab/src/bench.rs
+++ b/lab/src/bench.rs
@@ -44,7 +44,7 @@
 }
 
 impl Spread {
-    fn of(mut figures: Vec<f64>) -> Spread {
+    pub fn of(mut figures: Vec<f64>) -> Spread {
         figures.sort_by(f64::total_cmp);
         let at = |n: usize| figures.get(n).copied().unwrap_or(f64::NAN);
         let count = figures.len();
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(unsafe_code)]
 
 pub mod bench;
+pub mod bench_duty;
 pub mod chance;
 pub mod checker;
 pub mod clients;
