Show in each report what processor time the lab, the nodes and the replicas used

Cores in use on the mean, by the kernel's account of each process, in report.json (`cpu`) and report.md.

--- a/lab/src/conduct.rs
+++ b/lab/src/conduct.rs
@@ -22,12 +22,12 @@
 
 use crate::clients::{Answer, Clients};
 use crate::fleet::{ready, Fleet, Node, CLIENTS_READY};
-use crate::judge::{Band, Run};
+use crate::judge::{Band, Cpu, Run};
 use crate::net::{at, Life, Links, Way};
 use crate::parties::{Book, End, Parties, Party, ORIGIN};
 use crate::party::lock;
 use crate::plan::draw;
-use crate::process::guard;
+use crate::process::{cpu_s, guard};
 use crate::scenario::{Fault, Scenario, What, Whom};
 
 /// The programs that are run.
@@ -151,6 +151,7 @@
     let conductor = Conductor::start(&scenario, seed, programs).await?;
     let Conductor { book, clients, .. } = &*conductor;
     let begin = book.begin();
+    let used = conductor.cpu_s();
     let lead = {
         let (book, lead) = (Arc::clone(book), scenario.lead_s);
         tokio::spawn(async move {
@@ -164,6 +165,7 @@
         playing.push(tokio::spawn(async move { conductor.fault(n, &fault).await }));
     }
     clients.run(progress).await;
+    let cpu = conductor.cpu_since(used, begin.elapsed());
     sleep(AFTERWARDS).await;
     lead.abort();
     let mut bands = Vec::new();
@@ -174,7 +176,7 @@
             Err(e) => return Err(io::Error::other(e)),
         }
     }
-    Ok(conductor.collect(bands))
+    Ok(conductor.collect(bands, cpu))
 }
 
 impl Conductor {
@@ -212,8 +214,21 @@
         Ok(conductor)
     }
 
+    /// Processor time used so far: the lab's, the nodes', the replicas'.
+    fn cpu_s(&self) -> [f64; 3] {
+        let (nodes, replicas) = self.fleet.cpu_s();
+        [cpu_s(std::process::id()).unwrap_or(0.0), nodes, replicas]
+    }
+
+    fn cpu_since(&self, before: [f64; 3], time: Duration) -> Cpu {
+        let now = self.cpu_s();
+        let cores = |n: usize| (now[n] - before[n]).max(0.0) / time.as_secs_f64();
+        let of = std::thread::available_parallelism().map_or(0, usize::from);
+        Cpu { lab: cores(0), nodes: cores(1), replicas: cores(2), of }
+    }
+
     /// All that was seen.
-    fn collect(&self, bands: Vec<Band>) -> Run {
+    fn collect(&self, bands: Vec<Band>, cpu: Cpu) -> Run {
         let Conductor { book, parties, fleet, clients, seed, .. } = self;
         let zones: Vec<u8> = parties.all().iter().map(|party| party.zone as u8).collect();
         let take = |away: &Mutex<Vec<(f64, f64)>>| lock(away).clone();
@@ -237,6 +252,7 @@
             server_zones: zones,
             bands,
             lateness: lock(&clients.lateness).clone(),
+            cpu,
         }
     }
 
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -24,7 +24,7 @@
 use crate::parties::{Book, Parties, FALL_MULTIPLE, FALL_S};
 use crate::party::{lock, serve};
 use crate::plan::quota;
-use crate::process::{Folder, Process};
+use crate::process::{cpu_s, Folder, Process};
 use crate::scenario::{Effect, Scenario, What};
 use crate::service::{free, Service};
 
@@ -215,6 +215,15 @@
         self.nodes.iter().filter(ended).map(|node| node.name.clone()).collect()
     }
 
+    /// Processor time that the nodes and replicas that run now have used, in seconds.
+    pub fn cpu_s(&self) -> (f64, f64) {
+        let of = |process: &Process| cpu_s(process.id()).unwrap_or(0.0);
+        let nodes = self.nodes.iter().filter_map(|node| lock(&node.process).as_ref().map(of)).sum();
+        let service = lock(&self.service);
+        let replicas = service.places.iter().filter_map(|place| place.process.as_ref().map(of)).sum();
+        (nodes, replicas)
+    }
+
     /// A new process on the same socket, and SIGTERM to the old one.
     ///
     /// # Errors
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -34,6 +34,19 @@
     pub bands: Vec<Band>,
     /// Planned against actual send, microseconds.
     pub lateness: Histogram<u64>,
+    pub cpu: Cpu,
+}
+
+/// Cores in use on the mean from the fleet's readiness to the end, by processor time. Processes that ended meanwhile, and
+/// what they had used, are left out.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Cpu {
+    /// All emulated parties, clients and links.
+    pub lab: f64,
+    pub nodes: f64,
+    pub replicas: f64,
+    /// Of the machine.
+    pub of: usize,
 }
 
 /// When a fault was in force.
@@ -123,6 +136,7 @@
     pub crossings_per_request: f64,
     pub lateness_p99_ms: f64,
     pub lateness_max_ms: f64,
+    pub cpu: Cpu,
     pub latency: BTreeMap<String, Latency>,
     /// Breaches of each rule.
     pub rules: BTreeMap<String, u64>,
@@ -451,6 +465,7 @@
         crossings_per_request: per(crossings),
         lateness_p99_ms: late(0.99),
         lateness_max_ms: late(1.0),
+        cpu: run.cpu,
         latency: times.into_iter().map(|(name, times)| (name, quantiles(times))).collect(),
         rules: rules(run),
         origin_stops: run.falls.iter().filter(|fall| fall.server == ORIGIN).count() as u64,
@@ -538,6 +553,7 @@
             server_zones: vec![0, 1],
             bands: Vec::new(),
             lateness: Histogram::new(3).expect("a histogram"),
+            cpu: Cpu::default(),
             scenario,
         };
         for n in 0..480_u32 {
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -92,6 +92,15 @@
     ids.filter(|id| of(*id) == Some(number)).collect()
 }
 
+/// Processor time that a process has used, its ended threads too, in seconds; none where it is gone. By the kernel's account in
+/// ticks, 100 a second on Linux.
+pub fn cpu_s(id: u32) -> Option<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    let mut fields = stat.rsplit_once(')')?.1.split_whitespace().skip(11);
+    let mut ticks = || fields.next()?.parse::<f64>().ok();
+    Some((ticks()? + ticks()?) / 100.0)
+}
+
 /// A running program. Its standard error goes to a file.
 pub struct Process {
     child: Child,
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -182,6 +182,12 @@
         report.crossings_per_request,
         report.lateness_max_ms
     );
+    let cpu = &report.cpu;
+    let _ = writeln!(
+        text,
+        "Cores in use: the lab {:.2}, nodes {:.2}, replicas {:.2}, of {}.\n",
+        cpu.lab, cpu.nodes, cpu.replicas, cpu.of
+    );
     let _ = writeln!(
         text,
         "| class | worth served | p50 | p90 | p99 | longest |\n| --- | --- | --- | --- | --- | --- |"
