Let only the leader's own callers wait for news of a duty, and bound how many

Cause, found by reading: a renewal that waits and was passed on by a follower held one of the 256 connections at the leader's replica address for up to 3 s, where the leader's confirmations and elections come in too; 1,000 duties at one follower would have shut them out. Direct ones could take all 1,024 of the operators' connections.

Passed on, a renewal is answered at once and says so (`direct`); the candidate looks for the leader among its endpoints, once each four leases, and waits on its own side meanwhile. At most 512 wait at a replica, the rest are answered at once. The leader's look at silence builds its table in one pass instead of a search a candidate. 2,048 duties instead of 4,096: with full checkpoints they fit a backup. A play adds a holder with the leader on the minority's side.

--- a/cli/tests/duties.rs
+++ b/cli/tests/duties.rs
@@ -168,6 +168,24 @@
         // On a busy machine a lease of a second may end all the same; never without a hand-over in order.
         println!("lost while cut off from the leader alone");
     }
+    // A holder with the leader on the minority's side loses; a candidate on the majority's side gains.
+    play.runners[n].links[leader].heal();
+    play.goes_on("the holder counts");
+    let (n, leader) = (play.holder(), play.service.wait_for_leader());
+    seen = play.fence();
+    play.service.isolate(leader, Way::Cut, Way::Cut);
+    for (m, runner) in play.runners.iter().enumerate() {
+        for (replica, link) in runner.links.iter().enumerate() {
+            if (m == n) != (replica == leader) {
+                link.set(Way::Cut, Way::Cut);
+            }
+        }
+    }
+    next(&play, "on the minority's side", &mut seen);
+    play.runners.iter().flat_map(|runner| &runner.links).for_each(shaletrail_lab::link::Link::heal);
+    play.service.heal();
+    wait_for("all are in line again", || (play.line().len() == 3).then_some(()));
+    let leader = play.service.wait_for_leader();
     // The registry's leader dies: nobody loses what it holds for longer than the next takes to lead.
     play.service.kill(leader);
     play.goes_on("the counter goes on without the old leader");
--- a/client/src/changes.rs
+++ b/client/src/changes.rs
@@ -52,6 +52,11 @@
         self.under = fence.map(|fence| (fence.duty.clone(), fence.fence.to_string()));
     }
 
+    /// The next try is at the next endpoint.
+    pub fn move_on(&mut self) {
+        self.at = (self.at + 1) % self.endpoints.len().max(1);
+    }
+
     pub fn endpoints(&self) -> &[SocketAddr] {
         &self.endpoints
     }
@@ -95,7 +100,7 @@
             Err(e) if e.not_run() => Err(ChangeError::NotDone(format!("{addr}: {e}"))),
             Err(e) => Err(ChangeError::Unknown(format!("{addr}: {e}"))),
         };
-        self.at = (self.at + 1) % self.endpoints.len();
+        self.move_on();
         done
     }
 
--- a/client/src/duty.rs
+++ b/client/src/duty.rs
@@ -26,6 +26,8 @@
 const LEAST_CALL: Duration = Duration::from_millis(100);
 /// Most time between two tries after trouble; a lease's hundredth below it.
 const LONGEST_PAUSE: Duration = Duration::from_millis(200);
+/// The leader is looked for anew each so many leases, by a candidate that reaches it through others only.
+const SEEK_LEASES: u32 = 4;
 /// How often the clock is looked at while time passes: a machine that was suspended must not wait on.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -74,6 +76,9 @@
     /// Draws pauses.
     chance: u64,
     give_way: bool,
+    /// Endpoints still to be tried for the leader, and when that begins anew.
+    seek: usize,
+    seek_again: Time,
     /// The end of what this process may believe, in milliseconds of the boot-time clock; 0 where it holds nothing.
     until: Arc<AtomicU64>,
 }
@@ -102,6 +107,8 @@
             chance: who.life | 1,
             who,
             give_way: false,
+            seek: 0,
+            seek_again: Time::ZERO,
             until: Arc::default(),
         })
     }
@@ -140,11 +147,31 @@
 
     /// One sign of life, answered at news or after `hold`.
     async fn sign(&mut self, hold: Duration) -> Result<News, ChangeError> {
+        let began = boot();
+        let joined = self.joined;
         let news = self.put_sign(hold).await;
         self.show_until();
+        // Not let wait there, it waits here: what it asks for is the same as often.
+        let early = hold.saturating_sub(boot().saturating_sub(began));
+        if joined && matches!(news, Ok(News::None)) && early > hold / 2 {
+            sleep(early).await;
+        }
         news
     }
 
+    /// Only the leader lets renewals wait; it is looked for among the endpoints, once each some leases.
+    fn seek(&mut self, direct: bool) {
+        let now = boot();
+        if now >= self.seek_again {
+            self.seek = self.endpoints().len() - 1;
+            self.seek_again = now + self.tenure.lease() * SEEK_LEASES;
+        }
+        if !direct && self.seek > 0 {
+            self.seek -= 1;
+            self.changes.move_on();
+        }
+    }
+
     fn show_until(&self) {
         let until = self.holds().and(self.ends()).map_or(0, |(until, _)| until.as_millis() as u64);
         self.until.store(until, Ordering::Release);
@@ -169,6 +196,7 @@
             Ok(standing) => {
                 self.joined = true;
                 self.give_way = standing.give_way;
+                self.seek(standing.direct);
                 Ok(self.tenure.told(sent, Some(&standing), boot()))
             }
             Err(ChangeError::Refused { status: StatusCode::NOT_FOUND, .. }) => {
--- a/registry/src/changing.rs
+++ b/registry/src/changing.rs
@@ -144,7 +144,9 @@
     }
     let fence = asked.fence.as_ref();
     let done = match named {
-        Named::Duty(call, name) => duty_calls::answer(replica, call, name, &asked.method, &asked.body).await,
+        Named::Duty(call, name) => {
+            duty_calls::answer(replica, call, name, &asked.method, &asked.body, asked.passed).await
+        }
         Named::Ready => return ready(replica),
         Named::Metrics => return metrics(replica),
         Named::Status => return json(StatusCode::OK, &replica.status()),
--- a/registry/src/duties.rs
+++ b/registry/src/duties.rs
@@ -314,6 +314,7 @@
             give_way: holds && duty.give_way,
             before,
             checkpoint_version: duty.checkpoint,
+            direct: false,
         })
     }
 
@@ -413,19 +414,22 @@
 
     /// Who is to be proposed as lapsed. Calls come some times a lease.
     pub fn look(&mut self, duties: &Duties, now: Time) -> Vec<Gone> {
-        self.heard.retain(|(name, who), _| duties.standing(name, who).is_some());
         // Agreed on, or overtaken: a candidate that lapsed as a waiter may hold since.
         self.lapsing.retain(|gone| {
             let standing = duties.standing(&gone.name, &gone.who);
             standing.is_some_and(|standing| standing.fence == gone.fence)
         });
-        let mut gone = Vec::new();
+        let (mut gone, mut heard) = (Vec::new(), BTreeMap::new());
         for (name, place, fence) in duties.line() {
-            let heard = self.heard.entry((name.clone(), place.who.clone())).or_insert(now);
-            if now.saturating_sub(*heard) >= place.lease {
+            let key = (name.clone(), place.who.clone());
+            // Not seen before: heard now. Who is in line no more is left behind.
+            let at = self.heard.get(&key).copied().unwrap_or(now);
+            if now.saturating_sub(at) >= place.lease {
                 gone.push(Gone { name: name.clone(), who: place.who.clone(), fence });
             }
+            heard.insert(key, at);
         }
+        self.heard = heard;
         gone.retain(|one| self.lapsing.insert(one.clone()));
         gone
     }
--- a/registry/src/duty_calls.rs
+++ b/registry/src/duty_calls.rs
@@ -70,7 +70,15 @@
     refusal(status, why)
 }
 
-pub async fn answer(replica: &Replica, call: Call, name: &str, method: &Method, body: &[u8]) -> Done {
+/// `passed` on by another replica, or put here by the candidate itself.
+pub async fn answer(
+    replica: &Replica,
+    call: Call,
+    name: &str,
+    method: &Method,
+    body: &[u8],
+    passed: bool,
+) -> Done {
     add(&replica.counts.duty_calls);
     if matches!(call, Call::All) {
         let all = replica.view.duties(|duties| All {
@@ -81,8 +89,8 @@
     }
     let name = named(name)?;
     match call {
-        Call::Acquire => acquire(replica, name, body).await,
-        Call::Renew => renew(replica, name, body).await,
+        Call::Acquire => acquire(replica, name, body, passed).await,
+        Call::Renew => renew(replica, name, body, passed).await,
         Call::Release => {
             let asked: Release = parse(body)?;
             asked.who.check().map_err(bad)?;
@@ -152,7 +160,7 @@
     }
 }
 
-async fn acquire(replica: &Replica, name: String, body: &[u8]) -> Done {
+async fn acquire(replica: &Replica, name: String, body: &[u8], passed: bool) -> Done {
     let asked: Acquire = parse(body)?;
     let lease = asked.check().map_err(bad)?;
     let command = DutyCommand::Acquire { name: name.clone(), who: asked.who.clone(), lease, at_ms: now_ms() };
@@ -163,7 +171,11 @@
     // A lapse that was proposed before this call may come behind it in the log.
     noted(replica, &name, &asked.who)?;
     let standing = replica.view.duties(|duties| duties.standing(&name, &asked.who));
-    Ok(standing.map_or_else(|| unknown(&asked.who), |standing| json(StatusCode::OK, &standing)))
+    Ok(standing.map_or_else(|| unknown(&asked.who), |standing| told(standing, passed)))
+}
+
+fn told(standing: Standing, passed: bool) -> Reply {
+    json(StatusCode::OK, &Standing { direct: !passed, ..standing })
 }
 
 fn unknown(who: &Candidate) -> Reply {
@@ -180,14 +192,17 @@
     }
 }
 
-async fn renew(replica: &Replica, name: String, body: &[u8]) -> Done {
+async fn renew(replica: &Replica, name: String, body: &[u8], passed: bool) -> Done {
     let asked: Renew = parse(body)?;
     asked.who.check().map_err(bad)?;
     replica.may_change()?;
     let mut changes = replica.view.duty_changes();
     noted(replica, &name, &asked.who)?;
     replica.confirm_lead().await?;
-    let until = Instant::now() + Duration::from_millis(asked.hold_ms).min(LONGEST_HOLD);
+    // Those for which there is no place are answered at once, and ask again after as long.
+    let place = replica.waiting.try_acquire().ok().filter(|_| !passed);
+    let hold = place.as_ref().map_or(Duration::ZERO, |_| Duration::from_millis(asked.hold_ms));
+    let until = Instant::now() + hold.min(LONGEST_HOLD);
     let news = |standing: &Standing| standing.holds != asked.holds || standing.give_way != asked.give_way;
     loop {
         changes.borrow_and_update();
@@ -196,7 +211,7 @@
             Some(standing) => {
                 // The sender is at hand for as long as the replica is.
                 if news(&standing) || timeout_at(until, changes.changed()).await.is_err() {
-                    return Ok(json(StatusCode::OK, &standing));
+                    return Ok(told(standing, passed));
                 }
             }
         }
--- a/registry/src/replica.rs
+++ b/registry/src/replica.rs
@@ -227,8 +227,13 @@
     pub members: tokio::sync::Mutex<()>,
     /// Changes that may be out at once.
     changing: tokio::sync::Semaphore,
+    /// Renewals of duties that may wait for news here.
+    pub waiting: tokio::sync::Semaphore,
 }
 
+/// Of the operators' connections, half are left for calls that don't wait.
+const MOST_WAITING: usize = 512;
+
 /// When the last confirmation began, and how it came out. Also a failure is shared: those that wait must not each
 /// wait for one of their own.
 #[derive(Default)]
@@ -294,6 +299,7 @@
             not_ready: watch::Sender::new(Some(NotReady::Stale)),
             members: tokio::sync::Mutex::default(),
             changing: tokio::sync::Semaphore::new(MOST_CHANGING),
+            waiting: tokio::sync::Semaphore::new(MOST_WAITING),
         });
         tokio::spawn(Arc::clone(&replica).tend());
         Ok(replica)
--- a/registry/tests/duties_model.rs
+++ b/registry/tests/duties_model.rs
@@ -143,7 +143,7 @@
 }
 
 fn standing(fence: u64) -> Standing {
-    Standing { holds: true, fence, give_way: false, before: 0, checkpoint_version: 0 }
+    Standing { holds: true, fence, give_way: false, before: 0, checkpoint_version: 0, direct: true }
 }
 
 impl Cores {
--- a/wire/src/duty.rs
+++ b/wire/src/duty.rs
@@ -16,7 +16,7 @@
 /// Most bytes of a checkpoint.
 pub const LONGEST_CHECKPOINT: usize = 16 << 10;
 /// Duties at once, and candidates for one of them. More are refused.
-pub const MOST_DUTIES: usize = 4096;
+pub const MOST_DUTIES: usize = 2048;
 pub const MOST_WAITERS: usize = 1000;
 /// Lives, fencing numbers and versions stay below this, so that every reader of JSON keeps them exact.
 pub const MOST_EXACT: u64 = 1 << 53;
@@ -99,6 +99,10 @@
     /// Candidates before it, the holder among them.
     pub before: usize,
     pub checkpoint_version: u64,
+    /// The answer came from the leader itself, which alone lets renewals wait. Passed on, they are answered at once: they
+    /// share the replicas' own connections.
+    #[serde(default)]
+    pub direct: bool,
 }
 
 /// `POST …/NAME/release`: out of the line. Whoever held has stopped.
