--- a/registry/tests/histories.rs
+++ b/registry/tests/histories.rs
@@ -5,7 +5,9 @@
 
 use proptest::prelude::*;
 use shaletrail_registry::catalogue::{Catalogue, Command, Outcome, Refused, MOST_LEFT};
+use shaletrail_registry::duties::{Duties, DutyCommand, DutyOutcome, Gone};
 use shaletrail_registry::leases::Leases;
+use shaletrail_wire::duty::{Candidate, Why};
 use shaletrail_wire::{Entry, List, Stamp, State};
 
 fn entry(id: &str, weight: u64, state: State, started_ms: u64) -> Entry {
@@ -182,3 +184,74 @@
     leases.confirm(4);
     assert_eq!(leases.look(&list, Duration::from_millis(53_100)).expire.len(), 4);
 }
+
+fn duty_command() -> impl Strategy<Value = DutyCommand> {
+    let name = (0..2u8).prop_map(|n| format!("d{n}"));
+    let who = (0..4u64, 0..2u64).prop_map(|(n, life)| Candidate { id: format!("c{n}"), life });
+    (name, who, 0..12u8, 0..12u64, 0..3u64).prop_map(|(name, who, what, fence, expect)| match what {
+        0..=3 => DutyCommand::Acquire { name, who, lease: Duration::from_secs(5), at_ms: fence },
+        4 => DutyCommand::Release { name, who, why: Why::Released, at_ms: fence },
+        5 => DutyCommand::Lapse { gone: vec![Gone { name, who, fence: 0 }], at_ms: fence },
+        6 | 7 => DutyCommand::Lapse { gone: vec![Gone { name, who, fence }], at_ms: fence },
+        8 => DutyCommand::Transfer { name, fence, to: Some(who.id) },
+        9 => DutyCommand::Transfer { name, fence, to: None },
+        10 => DutyCommand::Checkpoint { name, fence, expect, data: format!("{fence}") },
+        _ => DutyCommand::Remove { name },
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn tenures_follow_each_other_with_growing_fences_and_every_call_may_come_twice(
+        commands in prop::collection::vec(duty_command(), 1..60),
+        restored in 0..60usize,
+    ) {
+        let mut duties = Duties::default();
+        let mut newest = 0;
+        let mut holders: BTreeMap<String, (u64, String)> = BTreeMap::new();
+        for (n, command) in commands.into_iter().enumerate() {
+            if n == restored {
+                duties = duties.restored(1000, 500);
+                newest = newest.max(1000);
+            }
+            let outcome = duties.apply(command.clone());
+            let once = duties.clone();
+            let again = duties.apply(command.clone());
+            if outcome == DutyOutcome::Done || matches!(outcome, DutyOutcome::Kept(_)) {
+                prop_assert_eq!(&duties, &once, "twice is once: {:?}", command);
+                prop_assert_eq!(outcome, again);
+            } else {
+                prop_assert_eq!(&duties, &once, "a refusal changes nothing");
+            }
+            for name in ["d0", "d1"] {
+                let Some(duty) = duties.show(name) else { continue };
+                let Some(holder) = duty.holder else { continue };
+                match holders.get(name) {
+                    Some((fence, id)) if *fence == duty.fence => prop_assert_eq!(id, &holder),
+                    _ => {
+                        prop_assert!(duty.fence > newest, "{} after {newest}", duty.fence);
+                        prop_assert!(!duties.is_quiet(), "nothing is granted before the settling");
+                        newest = duty.fence;
+                        holders.insert(name.into(), (duty.fence, holder));
+                    }
+                }
+                let old = duty.fence - 1;
+                prop_assert!(duties.guard(name, duty.fence).is_ok() && duties.guard(name, old).is_err());
+            }
+            for n in 0..4u64 {
+                for life in 0..2 {
+                    let who = Candidate { id: format!("c{n}"), life };
+                    for name in ["d0", "d1"] {
+                        let standing = duties.standing(name, &who);
+                        prop_assert!(standing.is_none_or(|s| s.holds == (s.fence > 0) && (!s.holds || s.before == 0)));
+                    }
+                }
+            }
+            let kept = serde_json::to_string(&duties).expect("JSON");
+            let read: Duties = serde_json::from_str(&kept).expect("its own form");
+            prop_assert_eq!(&read, &duties, "a snapshot is the same duties");
+        }
+    }
+}
