--- a/client/src/duty.rs
+++ b/client/src/duty.rs
@@ -72,6 +72,8 @@
     name: String,
     who: Candidate,
     tenure: Tenure,
+    /// An acquire was put in this life, whether or not an answer came.
+    asked: bool,
     joined: bool,
     /// Draws pauses.
     chance: u64,
@@ -103,6 +105,7 @@
             changes: Changes::new(endpoints),
             name: name.to_owned(),
             tenure: Tenure::new(lease),
+            asked: false,
             joined: false,
             chance: who.life | 1,
             who,
@@ -147,13 +150,12 @@
 
     /// One sign of life, answered at news or after `hold`.
     async fn sign(&mut self, hold: Duration) -> Result<News, ChangeError> {
-        let began = boot();
-        let joined = self.joined;
+        let (began, joined) = (boot(), self.joined);
         let news = self.put_sign(hold).await;
         self.show_until();
         // Not let wait there, it waits here: what it asks for is the same as often.
         let early = hold.saturating_sub(boot().saturating_sub(began));
-        if joined && matches!(news, Ok(News::None)) && early > hold / 2 {
+        if joined && self.joined && matches!(news, Ok(News::None)) && early > hold / 2 {
             sleep(early).await;
         }
         news
@@ -188,6 +190,7 @@
             let body = serde_json::to_vec(&question)?.into();
             self.changes.once(Method::POST, &duty_path(&self.name, "renew"), body, time).await
         } else {
+            self.asked = true;
             let question = Acquire { who, lease_s: lease.as_secs_f64() };
             let body = serde_json::to_vec(&question)?.into();
             self.changes.once(Method::POST, &duty_path(&self.name, "acquire"), body, time).await
@@ -216,6 +219,11 @@
         let mut hold = Duration::ZERO;
         loop {
             match self.sign(hold).await {
+                // Won, and stood still until that was over before it could act on it.
+                Ok(News::Lost) => {
+                    self.release(Why::Lapsed).await;
+                    hold = Duration::ZERO;
+                }
                 Ok(_) => {
                     if let Some(fence) = self.holds() {
                         return Ok(fence);
@@ -274,11 +282,12 @@
         self.until.store(0, Ordering::Release);
         let question = Release { who: self.who.clone(), why };
         let (path, lease) = (duty_path(&self.name, "release"), self.tenure.lease());
-        if self.joined {
+        if self.asked {
             let _ = self.changes.put::<Duty>(Method::POST, &path, &question, lease / 2).await;
         }
         self.who.life = (self.who.life + 1) % MOST_EXACT;
-        (self.joined, self.give_way, self.tenure) = (false, false, Tenure::new(lease));
+        (self.asked, self.joined, self.give_way) = (false, false, false);
+        self.tenure = Tenure::new(lease);
         // Handles of the last tenure keep what they have: that it is over.
         self.until = Arc::default();
     }
--- a/lab/src/net.rs
+++ b/lab/src/net.rs
@@ -17,6 +17,8 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
+use crate::plan::log_normal;
+
 /// One way of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Default)]
 pub struct Way {
@@ -76,6 +78,11 @@
     pub fn roll(&self) -> f64 {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).random_range(0.0..1.0)
     }
+
+    /// Log-normal with mean 1 and this coefficient of variation.
+    pub fn log_normal(&self, cv: f64) -> f64 {
+        log_normal(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner), cv)
+    }
 }
 
 /// What lies between a door and whoever comes to it.
--- a/lab/src/parties.rs
+++ b/lab/src/parties.rs
@@ -439,7 +439,9 @@
         let spec = &self.book.scenario.servers;
         let key = asked.key;
         let (end, mut work) = if server == ORIGIN {
-            (End::Served, self.book.scenario.origin.takes_ms / 1e3 * asked.work_s / self.mean_work(asked))
+            let origin = &self.book.scenario.origin;
+            let takes = origin.takes_ms / 1e3 * self.dice.log_normal(origin.takes_cv);
+            (End::Served, takes * asked.work_s / self.mean_work(asked))
         } else if write {
             (End::Miss, spec.miss_ms / 1e3)
         } else if party.errs(asked.class, self.dice.roll()) {
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -63,6 +63,14 @@
     from <= at && length.is_none_or(|length| at < from + length)
 }
 
+/// Log-normal with mean 1 and this coefficient of variation.
+pub fn log_normal(chance: &mut StdRng, cv: f64) -> f64 {
+    let sigma = (1.0 + cv * cv).ln().sqrt();
+    // A sum of twelve even draws stands in for a normal one.
+    let normal = (0..12).map(|_| chance.random_range(0.0..1.0f64)).sum::<f64>() - 6.0;
+    (sigma * normal - sigma * sigma / 2.0).exp()
+}
+
 pub fn draw(scenario: &Scenario, seed: u64) -> Vec<Asked> {
     let mut chance = StdRng::seed_from_u64(seed);
     let classes = Weighted::new(scenario.classes.iter().map(|c| c.share));
@@ -71,7 +79,6 @@
     let ranks = Weighted::new((0..load.keys).map(|rank| (rank as f64 + 3.0).powf(-load.zipf)));
     let end = scenario.lead_s + scenario.seconds;
     let zones = scenario.fleet.zones.len();
-    let sigma = (1.0 + load.work_cv * load.work_cv).ln().sqrt();
     let (mut at, mut plan) = (0.0, Vec::new());
     let mut sent = vec![std::collections::VecDeque::new(); scenario.tenants.len()];
     loop {
@@ -94,10 +101,7 @@
                 key = CROWD_KEYS + n as u32;
             }
         }
-        // Two sums of uniform numbers stand in for a normal one.
-        let normal: f64 = (0..12).map(|_| chance.random_range(0.0..1.0f64)).sum::<f64>() - 6.0;
-        let mean = scenario.classes[class].work_ms / 1e3;
-        let work_s = mean * (sigma * normal - sigma * sigma / 2.0).exp();
+        let work_s = scenario.classes[class].work_ms / 1e3 * log_normal(&mut chance, load.work_cv);
         let hint_us = (work_s * 1e6 * chance.random_range(0.7..1.4)) as u64;
         let recent: &mut std::collections::VecDeque<f64> = &mut sent[tenant];
         while recent.front().is_some_and(|early| *early < at - 1.0) {
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -151,6 +151,8 @@
     pub per_s: f64,
     /// Mean time of one fetch when it has room.
     pub takes_ms: f64,
+    /// Spread of that time beyond the request's own work (coefficient of variation, log-normal). 0: none.
+    pub takes_cv: f64,
     /// Requests waiting, counted in seconds of its capacity.
     pub queue_s: f64,
     /// Sent more than this multiple of its capacity for `fall_s`, it stops for `down_s`. 0: never.
@@ -162,7 +164,8 @@
 impl Default for OriginSpec {
     fn default() -> Self {
         let (fall_multiple, fall_s, down_s) = (2.5, 3.0, 5.0);
-        OriginSpec { per_s: 80.0, takes_ms: 50.0, queue_s: 1.0, fall_multiple, fall_s, down_s }
+        let (per_s, takes_ms, takes_cv, queue_s) = (80.0, 75.0, 0.8, 1.0);
+        OriginSpec { per_s, takes_ms, takes_cv, queue_s, fall_multiple, fall_s, down_s }
     }
 }
 
@@ -577,6 +580,7 @@
         within("servers.cold_s", server.cold_s, 0.01, 3_600.0)?;
         within("origin.per_s", self.origin.per_s, 0.1, 1e6)?;
         within("origin.takes_ms", self.origin.takes_ms, 0.1, 60_000.0)?;
+        within("origin.takes_cv", self.origin.takes_cv, 0.0, 3.0)?;
         let load = &self.load;
         within("load.of_capacity", load.of_capacity, 0.0, 20.0)?;
         within("load.keys", load.keys as f64, 1.0, 1e6)?;
