--- a/client/src/duty.rs
+++ b/client/src/duty.rs
@@ -26,8 +26,6 @@
 const LEAST_CALL: Duration = Duration::from_millis(100);
 /// Most time between two tries after trouble; a lease's hundredth below it.
 const LONGEST_PAUSE: Duration = Duration::from_millis(200);
-/// The leader is looked for anew each so many leases, by a candidate that reaches it through others only.
-const SEEK_LEASES: u32 = 4;
 /// How often the clock is looked at while time passes: a machine that was suspended must not wait on.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -161,12 +159,13 @@
         news
     }
 
-    /// Only the leader lets renewals wait; it is looked for among the endpoints, once each some leases.
+    /// Only the leader lets renewals wait; it is looked for among the endpoints, once each lease: after a succession
+    /// soon, and where it is cut off from here at the cost of one call.
     fn seek(&mut self, direct: bool) {
         let now = boot();
         if now >= self.seek_again {
             self.seek = self.endpoints().len() - 1;
-            self.seek_again = now + self.tenure.lease() * SEEK_LEASES;
+            self.seek_again = now + self.tenure.lease();
         }
         if !direct && self.seek > 0 {
             self.seek -= 1;
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -521,6 +521,7 @@
     include_str!("../scenarios/mass-restart.toml"),
     include_str!("../scenarios/cold-rush.toml"),
     include_str!("../scenarios/cold-deep.toml"),
+    include_str!("../scenarios/silent-deep.toml"),
     include_str!("../scenarios/scale.toml"),
 ];
 
