Read the wall clock in one place, and JSON of the registry by one call

client::clock::unix and Changes::read serve all of them; the loop counts its own tries; Progress clears itself when it goes. Behaviour is otherwise as it was.

--- a/cli/src/bench.rs
+++ b/cli/src/bench.rs
@@ -94,6 +94,12 @@
     }
 }
 
+impl Drop for Progress {
+    fn drop(&mut self) {
+        self.0.finish_and_clear();
+    }
+}
+
 fn spread(s: &Spread) -> String {
     format!("{:.1} ({:.1} to {:.1}, {} times)", s.median, s.least, s.most, s.count)
 }
@@ -143,7 +149,7 @@
     let program = std::env::current_exe().map_err(Failure::failed)?;
     let progress = Progress::new();
     let report = registry(&program, size, args.seed, |what| progress.say(what)).await;
-    progress.0.finish_and_clear();
+    drop(progress);
     let report = report.map_err(Failure::failed)?;
     if args.json {
         println!("{}", serde_json::to_string(&report).map_err(Failure::failed)?);
--- a/cli/src/duty.rs
+++ b/cli/src/duty.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use shaletrail_client::changes::{duty_path, ChangeError, Changes};
+use shaletrail_client::clock::unix;
 use shaletrail_client::duty::{DutyError, Seat};
 use shaletrail_client::minder::{self, Finished, RunError, Work};
 use shaletrail_wire::duty::{
@@ -175,8 +176,7 @@
 }
 
 async fn get<A: DeserializeOwned>(registry: &[SocketAddr], path: &str) -> Result<A, Failure> {
-    let body = Changes::new(registry.to_vec()).get(path, LONGEST_LIST).await.map_err(Failure::failed)?;
-    serde_json::from_slice(&body).map_err(Failure::failed)
+    Changes::new(registry.to_vec()).read(path, LONGEST_LIST).await.map_err(Failure::failed)
 }
 
 async fn show(registry: &[SocketAddr], name: &str) -> Result<Duty, Failure> {
@@ -205,15 +205,8 @@
     Ok(())
 }
 
-/// Unix time, for ages in words; nothing decides by it.
-#[allow(clippy::disallowed_methods)]
-fn now_ms() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.unwrap_or_default().as_millis() as u64
-}
-
 fn line(duty: &Duty) -> String {
-    let age = |ms: u64| format!("{} s", now_ms().saturating_sub(ms) / 1000);
+    let age = |ms: u64| format!("{} s", (unix().as_millis() as u64).saturating_sub(ms) / 1000);
     let nobody = "nobody".to_owned();
     let mut text = format!("{}: ", duty.name);
     match &duty.holder {
--- a/cli/src/registry.rs
+++ b/cli/src/registry.rs
@@ -252,11 +252,8 @@
 }
 
 async fn status(service: Service, as_json: bool) -> Result<(), Failure> {
-    let body = Changes::new(service.registry)
-        .get("/registry/status", LONGEST_LIST)
-        .await
-        .map_err(Failure::failed)?;
-    let status: Status = serde_json::from_slice(&body).map_err(Failure::failed)?;
+    let status = Changes::new(service.registry).read("/registry/status", LONGEST_LIST).await;
+    let status: Status = status.map_err(Failure::failed)?;
     if as_json {
         println!("{}", serde_json::to_string(&status).map_err(Failure::failed)?);
         return Ok(());
--- a/client/src/changes.rs
+++ b/client/src/changes.rs
@@ -118,7 +118,8 @@
         let body: bytes::Bytes = serde_json::to_vec(question)?.into();
         let until = Instant::now() + time;
         let mut ran = false;
-        for tries in 1.. {
+        let mut tries = 0;
+        loop {
             let left = until.saturating_duration_since(Instant::now()).min(CALL_TIME);
             let trouble = match self.once(method.clone(), path, body.clone(), left).await {
                 Err(ChangeError::NotDone(trouble)) => trouble,
@@ -128,6 +129,7 @@
                 }
                 done => return done,
             };
+            tries += 1;
             if Instant::now() >= until {
                 return Err(if ran { ChangeError::Unknown(trouble) } else { ChangeError::NotDone(trouble) });
             }
@@ -135,10 +137,17 @@
                 tokio::time::sleep(PAUSE).await;
             }
         }
-        unreachable!("the loop ends by its time")
     }
 
-    /// One call that changes nothing.
+    /// One call that changes nothing, and its answer.
+    ///
+    /// # Errors
+    /// The last endpoint's trouble, or an answer that is not what was asked for.
+    pub async fn read<A: DeserializeOwned>(&mut self, path: &str, most: usize) -> Result<A, ChangeError> {
+        Ok(serde_json::from_slice(&self.get(path, most).await?)?)
+    }
+
+    /// The same as bytes.
     ///
     /// # Errors
     /// The last endpoint's trouble.
--- a/client/src/clock.rs
+++ b/client/src/clock.rs
@@ -1,6 +1,6 @@
 //! The two clocks. Decisions go by the time since boot; the wall clock is for labels.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rustix::time::{clock_gettime, ClockId};
 
@@ -15,8 +15,11 @@
 /// one process and of no other.
 pub const WALL_STEP: &str = "LAB_WALL_STEP_FILE";
 
-/// A reading of the wall clock as this process sees it.
-pub fn wall(read: Duration) -> Duration {
+/// Unix time as this process sees it: for labels, schedules of nights, and the floor from which versions and fencing
+/// numbers go on after a restore. Nothing that runs decides by it.
+#[allow(clippy::disallowed_methods)]
+pub fn unix() -> Duration {
+    let read = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let step = std::env::var_os(WALL_STEP).and_then(|file| std::fs::read_to_string(file).ok());
     match step.and_then(|text| text.trim().parse::<i64>().ok()) {
         None => read,
--- a/client/src/duty.rs
+++ b/client/src/duty.rs
@@ -325,8 +325,7 @@
     /// The last endpoint's trouble.
     pub async fn left(&mut self) -> Result<Kept, DutyError> {
         let path = duty_path(&self.fence.duty, "checkpoint");
-        let body = self.changes.get(&path, LONGEST_CALL).await.map_err(|e| self.failed(e))?;
-        serde_json::from_slice(&body).map_err(|e| self.failed(e.into()))
+        self.changes.read(&path, LONGEST_CALL).await.map_err(|e| self.failed(e))
     }
 
     /// Leaves this in place of the version `expect`. May be put twice.
--- a/client/src/keeper.rs
+++ b/client/src/keeper.rs
@@ -3,7 +3,7 @@
 
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use hyper::Method;
 use serde::{Deserialize, Serialize};
@@ -80,12 +80,6 @@
     Ok(body.len() as u64)
 }
 
-/// Unix time: schedules of nights are by the wall clock.
-#[allow(clippy::disallowed_methods)]
-fn now_ms() -> u64 {
-    clock::wall(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()).as_millis() as u64
-}
-
 /// A clock that was set back makes a backup due as one that went on does: one too many is the lesser harm.
 fn is_due(last: &Taken, now_ms: u64, every: Duration) -> bool {
     u128::from(last.taken_ms.abs_diff(now_ms)) >= every.as_millis()
@@ -113,7 +107,7 @@
     let left = held.left().await?;
     // What is not this program's makes one due at once.
     let last: Taken = serde_json::from_str(&left.data).unwrap_or_default();
-    let taken_ms = now_ms();
+    let taken_ms = clock::unix().as_millis() as u64;
     if !is_due(&last, taken_ms, plan.every) {
         return Ok(None);
     }
@@ -193,13 +187,8 @@
     let mut said = String::new();
     loop {
         sleep(PROBE_PAUSE).await;
-        let body = held.changes.get("/registry/expiry", LONGEST_LIST).await;
-        let expiry: Expiry = match body.map(|body| serde_json::from_slice(&body)) {
-            Ok(Ok(expiry)) => expiry,
-            Ok(Err(e)) => {
-                say(format!("{EXPIRY}: {e}"));
-                continue;
-            }
+        let expiry: Expiry = match held.changes.read("/registry/expiry", LONGEST_LIST).await {
+            Ok(expiry) => expiry,
             Err(e) => {
                 say(format!("{EXPIRY}: {e}"));
                 continue;
--- a/lab/src/conduct.rs
+++ b/lab/src/conduct.rs
@@ -13,6 +13,7 @@
 use rand::SeedableRng;
 use shaletrail_client::agent::{self, Duty};
 use shaletrail_client::changes::Changes;
+use shaletrail_client::clock::unix;
 use shaletrail_client::driver::ask;
 use shaletrail_client::follow::Ask;
 use shaletrail_wire::{Entry, State};
@@ -64,11 +65,9 @@
     seed: u64,
 }
 
+/// The list's form asks for the time of a start by the common clock; nothing here is reckoned by it.
 fn unix_ms() -> u64 {
-    // The list's form asks for the time of a start by the common clock; nothing here is reckoned by it.
-    #[allow(clippy::disallowed_methods)]
-    let now = std::time::SystemTime::now();
-    now.duration_since(std::time::UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+    unix().as_millis() as u64
 }
 
 /// A fleet that stands until it is dropped, under the scenario's load.
--- a/lab/src/observer.rs
+++ b/lab/src/observer.rs
@@ -178,6 +178,5 @@
 /// # Errors
 /// As the client has it.
 pub fn get(endpoint: SocketAddr, path: &str) -> Result<serde_json::Value, ChangeError> {
-    let body = runtime().block_on(Changes::new(vec![endpoint]).get(path, 64 << 20))?;
-    Ok(serde_json::from_slice(&body)?)
+    runtime().block_on(Changes::new(vec![endpoint]).read(path, 64 << 20))
 }
--- a/registry/src/duty_calls.rs
+++ b/registry/src/duty_calls.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
+use shaletrail_client::clock::unix;
 use shaletrail_wire::duty::{
     Acquire, Candidate, Checkpoint, Duties as All, Release, Renew, Standing, Transfer, LONGEST_HOLD,
 };
@@ -12,7 +13,7 @@
 use crate::changing::{named, no_leases, Done, No};
 use crate::duties::{DutyCommand, DutyOutcome, DutyRefused, Sign};
 use crate::http::{json, not_run, parse, refusal, Reply};
-use crate::replica::{add, unix, Replica};
+use crate::replica::{add, Replica};
 
 /// What a path under the duties' names.
 #[derive(Clone, Copy)]
--- a/registry/src/replica.rs
+++ b/registry/src/replica.rs
@@ -7,11 +7,12 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use openraft::error::{ClientWriteError, RaftError};
 use openraft::{ChangeMembers, ServerState, SnapshotPolicy};
 use serde::{Deserialize, Serialize};
+use shaletrail_client::clock::unix;
 use shaletrail_wire::{Replica as Told, Status};
 use tokio::sync::watch;
 
@@ -768,13 +769,6 @@
 /// Versions left for each second of Unix time: a later restore begins beyond an earlier one's.
 const PER_SECOND: u64 = 1 << 20;
 
-/// Unix time. The only use of the wall clock here: labels of backups and hand-overs and, with [`LEAP`] below it, the
-/// version at which a restored list begins. Nothing that runs decides by it.
-#[allow(clippy::disallowed_methods)]
-pub fn unix() -> Duration {
-    shaletrail_client::clock::wall(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
-}
-
 /// The list as a backup.
 ///
 /// # Errors
