Follow the list where it is pushed: from the start, and after each failure

With membership-mode pushed nothing ever opened a watch: follow_roster in src/balance.rs subscribes on request only, and node/src/discovery.rs waited for that. The node kept the list of its start for ever.

The driver now follows from the start where the settings say so, and tries again within a quarter of the grace for drains: there what the service has counts as told at once.

The test on sockets waits 30 s for a call that never comes without the mend (seen), and passes with it.

--- a/client/src/follow.rs
+++ b/client/src/follow.rs
@@ -69,6 +69,8 @@
 pub enum Retry {
     /// The follower, after a wait that grows.
     Own,
+    /// The follower, within this time: what a service that pushes its list has counts as told, and it is near.
+    Within(Duration),
     /// Its user, by [`Follower::start`].
     OnStart,
 }
@@ -290,10 +292,12 @@
         self.failed = 0;
         self.behind = 0;
         self.report(out);
-        if self.retry == Retry::Own {
-            let wait = (WAIT * (1 << self.rounds.min(6))).min(LONGEST_WAIT);
-            self.wake = Some(now + wait.mul_f64(0.5 + self.random() / 2.0));
-        }
+        let wait = match self.retry {
+            Retry::Own => (WAIT * (1 << self.rounds.min(6))).min(LONGEST_WAIT),
+            Retry::Within(longest) => longest,
+            Retry::OnStart => return,
+        };
+        self.wake = Some(now + wait.mul_f64(0.5 + self.random() / 2.0));
     }
 
     fn report(&mut self, out: &mut Vec<Action>) {
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -3,7 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
+use mallowpaddle::{Membership, Seconds, Settings};
 use shaletrail_client::driver::{ask, Following, News};
 use shaletrail_client::follow::{Ask, Retry};
 use tokio::sync::Notify;
@@ -12,6 +14,16 @@
 use crate::config::List;
 use crate::handle::{Handle, Heard};
 
+/// A pushed list that is out of reach is asked for again so often within the grace for drains, and no more often than
+/// this: most of the grace has to do for the answer.
+const RETRIES_IN_GRACE: f64 = 4.0;
+const LEAST_RETRY: Seconds = 0.02;
+const LONGEST_RETRY: Seconds = 0.25;
+
+fn retry_within(drain_grace: Seconds) -> Duration {
+    Duration::from_secs_f64((drain_grace / RETRIES_IN_GRACE).clamp(LEAST_RETRY, LONGEST_RETRY))
+}
+
 /// What the follower is to do next.
 #[derive(Default)]
 struct Orders {
@@ -60,10 +72,18 @@
         });
     }
 
-    /// Follows the list for as long as the node runs.
-    pub async fn follow(self: Rc<Self>, held: Option<u64>, seed: u64) {
-        // When to try again once nobody answers is the module's decision.
-        let mut following = Following::new(self.endpoints.borrow().clone(), held, Retry::OnStart, seed);
+    /// Follows the list for as long as the node runs: from now on and come what may where it is pushed, so that the
+    /// node has what there is within the grace for drains, else when the module says so.
+    pub async fn follow(self: Rc<Self>, held: Option<u64>, seed: u64, settings: Settings) {
+        let retry = match settings.membership {
+            Membership::Pushed => Retry::Within(retry_within(settings.guarantees.drain_grace)),
+            // When to try again once nobody answers is the module's decision.
+            Membership::OnRequest => Retry::OnStart,
+        };
+        let mut following = Following::new(self.endpoints.borrow().clone(), held, retry, seed);
+        if settings.membership == Membership::Pushed {
+            following.start();
+        }
         loop {
             tokio::select! {
                 () = self.ordered.notified() => {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -77,7 +77,7 @@
     let handle = Handle::default();
     let discovery = Discovery::new(config.discovery.clone(), handle.clone());
     let known = config.known.as_ref().map(|list| list.version);
-    spawn_local(Rc::clone(&discovery).follow(known, config.seed));
+    spawn_local(Rc::clone(&discovery).follow(known, config.seed, config.settings.clone()));
     let peers = Peers::bind(&config).await.map_err(|e| format!("listen for peers: {e}"))?.map(Rc::new);
     let host = Host::start(&config, Rc::clone(&discovery), peers.clone())?;
     let ear = Rc::clone(&host);
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -211,6 +211,30 @@
     assert_eq!(node.get("/read/a").status(), 503);
 }
 
+/// Seen on days with pushed lists: nobody ever opened a watch there, and a leaving server was sent to for ever.
+#[test]
+fn a_pushed_list_is_followed_from_the_start_and_after_each_failure() {
+    let (old, new) = (Server::start(|_| hit("old")), Server::start(|_| hit("new")));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.server.addr, &[entry("s-1", old.addr, "active")]);
+    config["settings"]["membership-mode"] = json!("pushed");
+    // What is known at the start may be old.
+    discovery.publish(2, &list(2, true, &[entry("s-2", new.addr, "active")]).to_string());
+    let node = Node::start(&config);
+    assert!(discovery.server.next().path().contains("from=1&"), "asked unasked");
+    discovery.heard(2);
+    assert_eq!(node.get("/read/a").body, "new");
+    // The watch breaks, and the call after it.
+    for _ in 0..2 {
+        discovery.publish(3, "rotten");
+        while discovery.server.requests.try_recv().is_ok() {}
+        discovery.server.next();
+    }
+    discovery.publish(3, &list(3, true, &[entry("s-1", old.addr, "active")]).to_string());
+    discovery.heard(3);
+    assert_eq!(node.get("/read/a").body, "old");
+}
+
 #[test]
 fn a_rotten_list_is_a_failed_call_and_the_old_list_stands() {
     let cache = Server::start(|_| hit("value"));
