See that a client has left also where bytes lie behind its request

hyper looks for the end of a connection only while nothing lies unread on it (mid_message_detect_eof returns Pending as soon as its buffer holds a byte): a client that sent two requests at once, or one and a half, and went, was taken to wait until its answer, and its request was sent on.

While a request that has come whole waits, the service now reads ahead itself, 32 KiB at most, and drops the ticket with the connection at the end or a reset; what was read ahead goes to hyper first. It stands in the one place where the request waits, so it holds for connects, fetches of others, room and drains alike. Not covered: a body over 64 KiB that lies whole in the kernel behind a server that takes nothing, and over 32 KiB of further requests.

The test with four ways of splitting the bytes waits 30 s for the end of an attempt that never ends without the mend (seen).

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -2,13 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::convert::Infallible;
+use std::io::ErrorKind;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
@@ -17,6 +18,7 @@
 use hyper_util::rt::TokioIo;
 use mallowpaddle::{Key, Seconds, Settings};
 use mallowpaddle_settings::Names;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
@@ -53,6 +55,9 @@
 /// How often a connection is looked at, as its state may have changed meanwhile.
 const LOOK: Duration = Duration::from_millis(400);
 const LONGEST_HEAD: usize = 32 << 10;
+/// Most that is read ahead, in pieces, while a request waits, to see whether its client is still there.
+const MOST_AHEAD: usize = LONGEST_HEAD;
+const PIECE_AHEAD: usize = 1 << 10;
 /// Longest wait that is believed of a client.
 const LONGEST_WAIT: u64 = 3_600_000;
 /// After the signal to stop, new connections go on coming for up to 0.4 s.
@@ -182,75 +187,134 @@
     }
 }
 
+/// A client's stream, and what was read of it ahead of hyper while a request waited.
+struct Stream {
+    tcp: TcpStream,
+    ahead: RefCell<BytesMut>,
+}
+
+impl Stream {
+    /// Ends once the client has left. Only while a request that has come whole waits for its answer: hyper looks for
+    /// that as well, but not past bytes that lie behind the request.
+    async fn left(&self) {
+        while self.ahead.borrow().len() < MOST_AHEAD && self.tcp.readable().await.is_ok() {
+            let mut ahead = self.ahead.borrow_mut();
+            ahead.reserve(PIECE_AHEAD);
+            match self.tcp.try_read_buf(&mut *ahead) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+        // Nobody who sends so much behind a request is a client by the protocol; its end is seen with the answer.
+        std::future::pending().await
+    }
+}
+
+/// The client has left, and its connection is of no more use.
+#[derive(Debug)]
+struct Left;
+
+impl std::fmt::Display for Left {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the client has left")
+    }
+}
+
+impl std::error::Error for Left {}
+
 /// A client's socket. It notes when something moves, and ends with a reset if its answer has broken off.
 struct Socket {
-    stream: TcpStream,
+    stream: Rc<Stream>,
     client: Rc<Client>,
 }
 
+impl Socket {
+    /// Tries to write once the stream takes something.
+    fn write(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> std::io::Result<usize>,
+    ) -> Poll<std::io::Result<usize>> {
+        self.client.unsent.set(true);
+        loop {
+            ready!(self.stream.tcp.poll_write_ready(cx))?;
+            match write(&self.stream.tcp) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                result => {
+                    if matches!(result, Ok(1..)) {
+                        self.client.on_moved(false);
+                    }
+                    return Poll::Ready(result);
+                }
+            }
+        }
+    }
+}
+
 impl Drop for Socket {
     fn drop(&mut self) {
         if self.client.broken.get() {
             // Without it an answer that ends with its connection would look whole.
-            let _ = self.stream.set_zero_linger();
+            let _ = self.stream.tcp.set_zero_linger();
         }
     }
 }
 
 impl AsyncRead for Socket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
+        let mut ahead = self.stream.ahead.borrow_mut();
+        let read = if ahead.is_empty() {
+            loop {
+                ready!(self.stream.tcp.poll_read_ready(cx))?;
+                match self.stream.tcp.try_read_buf(buf) {
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                    result => break result?,
+                }
+            }
+        } else {
+            let most = buf.remaining().min(ahead.len());
+            let first = ahead.split_to(most);
+            buf.put_slice(&first);
+            first.len()
+        };
+        if read > 0 {
             self.client.on_moved(true);
         }
-        result
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Socket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        self.client.unsent.set(true);
-        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if matches!(result, Poll::Ready(Ok(1..))) {
-            self.client.on_moved(false);
-        }
-        result
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<std::io::Result<usize>> {
+        self.write(cx, |tcp| tcp.try_write(buf))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        self.client.unsent.set(true);
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        if matches!(result, Poll::Ready(Ok(1..))) {
-            self.client.on_moved(false);
-        }
-        result
+        self.write(cx, |tcp| tcp.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
     /// hyper flushes once all that it holds is written.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         self.client.unsent.set(false);
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(SockRef::from(&self.stream.tcp).shutdown(Shutdown::Write))
     }
 }
 
@@ -430,20 +494,21 @@
     // Without it a small answer may wait for the client's acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
     let client = &joined.0;
+    let stream = Rc::new(Stream { tcp: stream, ahead: RefCell::default() });
     let service = service_fn(|request| {
         let (busy, grace) = (client.busy(), client.grace());
-        let (reader, client) = (&reader, client);
+        let (reader, client, stream) = (&reader, client, &stream);
         async move {
-            let mut response = reader.respond(request, grace).await;
+            let mut response = reader.respond(request, grace, stream).await?;
             if reader.lifecycle.state() != State::Serving {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             client.answering.set(true);
             response.body_mut().busy = Some(busy);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Left>(response)
         }
     });
-    let socket = Socket { stream, client: Rc::clone(client) };
+    let socket = Socket { stream: Rc::clone(&stream), client: Rc::clone(client) };
     let mut serving = std::pin::pin!(http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(LONGEST_HEAD)
@@ -484,21 +549,34 @@
 struct Rejected(StatusCode);
 
 impl Reader {
-    async fn respond(&self, request: Request<Incoming>, grace: Duration) -> Response<Outgoing> {
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        grace: Duration,
+        stream: &Stream,
+    ) -> Result<Response<Outgoing>, Left> {
         if request.uri().path() == "/health/ready" {
             let ready = self.host.ready() && self.lifecycle.state() == State::Serving;
-            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+            return Ok(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
         }
-        match self.read(request, grace).await {
-            Ok((ticket, long)) => {
+        Ok(match self.read(request, grace).await {
+            Ok((ticket, None)) => {
+                // Dropped with its client gone, the ticket is withdrawn.
+                let (answer, taken) = tokio::select! {
+                    biased;
+                    answered = ticket.answer() => answered,
+                    () = stream.left() => return Err(Left),
+                };
+                response(answer, taken)
+            }
+            // What comes is a part of its body; where that breaks off, whoever sends it on hears of it.
+            Ok((ticket, Some(long))) => {
                 let (answer, taken) = ticket.answer().await;
-                if let Some(long) = long {
-                    long.end();
-                }
+                long.end();
                 response(answer, taken)
             }
             Err(Rejected(status)) => plain(status),
-        }
+        })
     }
 
     /// Takes a request, and if its body is a long one says where that still comes from.
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -103,6 +103,50 @@
     cache.ended.recv_timeout(PATIENCE).expect("the attempt's connection is closed");
 }
 
+/// hyper looks for the end of a connection only while nothing lies unread on it.
+#[test]
+fn a_client_that_goes_away_behind_bytes_of_another_request_ends_its_attempt() {
+    let ahead = "GET /read/b HTTP/1.1\r\nHost: a\r\nX-Request-Id: 2\r\n\r\n";
+    // Read with the request, read after it, and more than is read ahead of it at once.
+    for (with, after) in [(ahead, ""), ("", ahead), ("", &ahead.repeat(90)), ("GET /re", "ad/b HTTP/1.1\r\n")]
+    {
+        let cache = Server::start(|_| Reply::Silence);
+        let (node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
+        let mut client = node.client();
+        let first = "GET /read/a HTTP/1.1\r\nHost: a\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 100000\r\n\r\n";
+        client.write(&format!("{first}{with}"));
+        assert_eq!(cache.next().path(), "/read/a");
+        client.write(after);
+        drop(client);
+        cache.ended.recv_timeout(PATIENCE).expect("the attempt's connection is closed");
+        assert!(cache.requests.try_recv().is_err(), "the one behind it went on");
+    }
+}
+
+/// What was read ahead while a request waited is not lost, nor put in another place.
+#[test]
+fn requests_that_came_at_once_are_answered_one_after_the_other() {
+    let (release, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let cache = Server::start(move |request| {
+        if request.path() == "/read/0" {
+            let _ = gate.lock().unwrap().recv();
+        }
+        hit(request.path())
+    });
+    let (node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
+    let mut client = node.client();
+    client.send("GET", "/read/0", "X-Deadline-Ms: 20000\r\n", "");
+    cache.next();
+    for key in 1..300 {
+        client.send("GET", &format!("/read/{key}"), "X-Deadline-Ms: 20000\r\n", "");
+    }
+    release.send(()).unwrap();
+    for key in 0..300 {
+        assert_eq!(client.read().expect("an answer").body, format!("/read/{key}"));
+    }
+}
+
 // ---- Outcomes -------------------------------------------------------------------------------------------
 
 /// Two servers of which the first one asked does as given and the other serves; returns the client's answer
