Send nothing for a request that is over, also where nothing may be called off

With limits.cancel false on_finished in src/balance.rs calls nothing off, rightly: the settings forbid it. But an attempt that still waited for its connect was then written, up to the connect's time after its client had left or had its answer (Upstreams::exchange in node/src/upstream.rs looked at the server's state only).

The host now asks just before it writes, in the one place that also sees a drain during the connect, whether the request is still open; if not, the attempt ends as never sent. The module is not touched.

--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -319,9 +319,10 @@
                 }
             };
             let mut stop = std::pin::pin!(stop);
+            let open = || attempt.host.open.borrow().contains_key(&request);
             let answering = tokio::select! {
                 biased;
-                answering = upstreams.exchange(&server, &payload, wait, &attempt.sent) => answering,
+                answering = upstreams.exchange(&server, &payload, wait, &attempt.sent, open) => answering,
                 (written, unwritten) = stop.as_mut() => Err(attempt.stopped(written, unwritten)),
             };
             let ended = match answering {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -346,13 +346,15 @@
     }
 
     /// Makes one attempt, up to the head of its answer. The caller bounds its time, and ends it by dropping the
-    /// future.
+    /// future. Nothing is sent for a request that is not open any more: that is no cancelling, which may not be
+    /// allowed.
     pub async fn exchange(
         &self,
         server: &ServerId,
         payload: &Payload,
         wait: Duration,
         sent: &Sent,
+        open: impl Fn() -> bool,
     ) -> Result<Answering, Ended> {
         let started = Instant::now();
         loop {
@@ -368,6 +370,9 @@
             if self.addr(server) != Some(connection.addr) {
                 return Err(Ended::without_reply(Status::Overloaded));
             }
+            if !open() {
+                return Err(Ended::without_reply(Status::Void));
+            }
             sent.begin(&connection.progress);
             let left = wait.saturating_sub(started.elapsed());
             let request = payload.request(connection.addr, left, &connection.progress.handed);
@@ -579,7 +584,7 @@
     }
 
     async fn exchange(upstreams: &Upstreams, server: &ServerId, payload: &Payload, sent: &Sent) -> Ended {
-        match upstreams.exchange(server, payload, WAIT, sent).await {
+        match upstreams.exchange(server, payload, WAIT, sent, || true).await {
             Ok(answering) => upstreams.read(server, answering).await,
             Err(ended) => ended,
         }
@@ -614,6 +619,29 @@
         });
     }
 
+    #[test]
+    fn nothing_that_waits_for_a_connect_is_sent_once_its_request_is_over() {
+        on_loopback(|listener| async move {
+            let addr = listener.local_addr().unwrap();
+            let upstreams = start(8);
+            upstreams.update(&list(addr, ServerState::Ready));
+            let (server, payload, sent) = (ServerId("s-1".into()), payload(""), Sent::default());
+            let open = Cell::new(true);
+            let (answering, ()) = tokio::join! {
+                biased;
+                upstreams.exchange(&server, &payload, WAIT, &sent, || open.get()),
+                // Polled while the connect is under way.
+                async { open.set(false) },
+            };
+            let status = answering.err().map(|ended| ended.status);
+            assert_eq!((status, sent.whole()), (Some(Status::Void), false));
+            let mut seen = Vec::new();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.read_to_end(&mut seen).await.unwrap();
+            assert_eq!(seen, b"");
+        });
+    }
+
     #[test]
     fn nothing_that_waits_for_a_connect_goes_to_a_server_that_is_taken_out_meanwhile() {
         on_loopback(|listener| async move {
