--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -241,7 +241,6 @@
             writeln!(out, "write_peer {node} -1 {digits}")
         }
         Action::Subscribe => writeln!(out, "keep_informed {node} 1"),
-        Action::FetchRoster => writeln!(out, "reload {node}"),
         Action::Log(text) => writeln!(out, "journal_line {node} {text}"),
     };
 }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 
 use mallowpaddle::{Membership, Seconds, Settings};
-use shaletrail_client::driver::{ask, Following, News};
-use shaletrail_client::follow::{Ask, Retry};
+use shaletrail_client::driver::{Following, News};
+use shaletrail_client::follow::Retry;
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
 
 use crate::config::List;
 use crate::handle::{Handle, Heard};
@@ -59,19 +58,6 @@
         self.ordered.notify_one();
     }
 
-    /// Asks once for the whole list.
-    pub fn fetch(self: &Rc<Self>) {
-        let discovery = Rc::clone(self);
-        spawn_local(async move {
-            let Some(addr) = discovery.endpoints.borrow().first().copied() else { return };
-            let news = match ask(addr, Ask::Whole).await {
-                Ok(list) => News::List(list),
-                Err(what) => News::Failed(format!("{addr}: {what}")),
-            };
-            discovery.tell(news);
-        });
-    }
-
     /// Follows the list for as long as the node runs: from now on and come what may where it is pushed, so that the
     /// node has what there is within the grace for drains, else when the module says so.
     pub async fn follow(self: Rc<Self>, held: Option<u64>, seed: u64, settings: Settings) {
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -152,7 +152,6 @@
                 }
             }
             Action::Subscribe => self.discovery.subscribe(),
-            Action::FetchRoster => self.discovery.fetch(),
             Action::Log(text) => eprintln!("{text}"),
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -95,7 +95,7 @@
     /// Changes arrive by themselves.
     #[default]
     Pushed,
-    /// Only after [`Action::Subscribe`] or [`Action::FetchRoster`].
+    /// Only after [`Action::Subscribe`].
     OnRequest,
 }
 
@@ -513,8 +513,6 @@
     Tell(Vec<u8>),
     /// Subscribe to changes of the list.
     Subscribe,
-    /// Ask for the whole list once.
-    FetchRoster,
     /// A line for the operators.
     Log(String),
 }
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -462,7 +462,7 @@
 }
 
 fn asks(actions: &[Action]) -> usize {
-    actions.iter().filter(|a| matches!(a, Action::Subscribe | Action::FetchRoster)).count()
+    actions.iter().filter(|a| matches!(a, Action::Subscribe)).count()
 }
 
 #[test]
