Reset no connection with a request in it: at a stop, nor to make room

Three crossings at the limit of connections, found by one test and each proved by its own (node/tests/crossings.rs): - accept() made room before anybody had come: the moment the last place was taken an idle client was closed, also the one that had just connected, with its request still in the kernel. Now a connection comes first, then the room for it; - room() took who idled, and a connection counts as idle until hyper has read its request. Now only who has been read dry while idle gives way, so a request that lies in the kernel is read first; - serve() closed the listener 0.6 s after SIGTERM with whatever the kernel had accepted and the node, at its limit, had not. Those requests count as taken; now they are taken before the listener goes. Each test was seen to fail without its part: put back, the first two lines fail at_the_limit_nobody_gives_way and who_waits_in_the_queue, dry alone put out fails a_request_that_lies_in_the_kernel, and who_waits_in_the_queue failed on the untouched program with no answer to the one in the queue.

The unit test on who gives way says now that they were looked at; before that nobody does, which it checks as well.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::io::ErrorKind;
 use std::net::Shutdown;
 use std::pin::Pin;
@@ -71,7 +72,8 @@
     open: Cell<usize>,
     next: Cell<u64>,
     idle: RefCell<BTreeMap<u64, Rc<Client>>>,
-    closed: Notify,
+    /// One has left, or may give way.
+    changed: Notify,
 }
 
 /// One client connection, counted until it is dropped.
@@ -86,6 +88,8 @@
     came: Instant,
     /// When a byte last came or went, or an answer ended.
     moved: Cell<Instant>,
+    /// Nothing of it was left to be read when it was last looked at.
+    dry: Cell<bool>,
     /// When the head began to come that is not whole yet.
     head: Cell<Option<Instant>>,
     /// An answer is on its way out.
@@ -104,9 +108,17 @@
         self.place.set(Some(place));
         self.clients.idle.borrow_mut().insert(place, Rc::clone(self));
         self.answering.set(false);
+        self.dry.set(false);
         self.moved.set(Instant::now());
     }
 
+    /// There is nothing more to be read for now.
+    fn on_dry(&self) {
+        if self.is_idle() && !self.dry.replace(true) {
+            self.clients.changed.notify_waiters();
+        }
+    }
+
     fn busy(self: &Rc<Self>) -> Busy {
         self.head.set(None);
         self.leave_idle();
@@ -126,6 +138,7 @@
     fn on_moved(&self, read: bool) {
         let now = Instant::now();
         self.moved.set(now);
+        self.dry.set(self.dry.get() && !read);
         if read && self.is_idle() && self.head.get().is_none() {
             self.head.set(Some(now));
         }
@@ -183,7 +196,7 @@
         let clients = &self.0.clients;
         self.0.leave_idle();
         clients.open.set(clients.open.get() - 1);
-        clients.closed.notify_waiters();
+        clients.changed.notify_waiters();
     }
 }
 
@@ -271,7 +284,11 @@
         let mut ahead = self.stream.ahead.borrow_mut();
         let read = if ahead.is_empty() {
             loop {
-                ready!(self.stream.tcp.poll_read_ready(cx))?;
+                let Poll::Ready(ready) = self.stream.tcp.poll_read_ready(cx) else {
+                    self.client.on_dry();
+                    return Poll::Pending;
+                };
+                ready?;
                 match self.stream.tcp.try_read_buf(buf) {
                     Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                     result => break result?,
@@ -375,7 +392,7 @@
             open: Cell::default(),
             next: Cell::default(),
             idle: RefCell::default(),
-            closed: Notify::new(),
+            changed: Notify::new(),
         })
     }
 
@@ -390,7 +407,7 @@
     /// Sets how many may be open from now on. What is open beyond that stays.
     pub fn bound(&self, most: usize) {
         if self.most.replace(most) < most {
-            self.closed.notify_waiters();
+            self.changed.notify_waiters();
         }
     }
 
@@ -404,6 +421,7 @@
             begun: watch::Sender::new(false),
             came: now,
             moved: Cell::new(now),
+            dry: Cell::default(),
             head: Cell::default(),
             answering: Cell::default(),
             gives_way: Cell::default(),
@@ -415,25 +433,28 @@
     }
 
     /// Waits until one more connection fits. One that idles gives way, so that clients which keep many can't
-    /// shut out the others; if there is none, one that is not done with its head.
+    /// shut out the others; if there is none, one that is not done with its head. A request that already lies in the
+    /// kernel is read first.
     async fn room(&self) {
         while self.open.get() >= self.most.get() {
-            let closed = self.closed.notified();
-            let idle = || self.idle.borrow();
-            let place =
-                idle().iter().find(|(_, client)| client.head.get().is_none()).map(|(place, _)| *place);
-            let place = place.or_else(|| idle().keys().next().copied());
+            let changed = self.changed.notified();
+            let place = {
+                let idle = self.idle.borrow();
+                let dry = || idle.iter().filter(|(_, client)| client.dry.get());
+                let place = dry().find(|(_, client)| client.head.get().is_none()).or_else(|| dry().next());
+                place.map(|(place, _)| *place)
+            };
             if let Some(client) = place.and_then(|place| self.idle.borrow_mut().remove(&place)) {
                 client.gives_way.set(true);
                 client.close.notify_one();
             }
-            closed.await;
+            changed.await;
         }
     }
 
     async fn none_left(&self) {
         while self.open.get() > 0 {
-            self.closed.notified().await;
+            self.changed.notified().await;
         }
     }
 }
@@ -459,37 +480,69 @@
     let reader = Rc::new(Reader { host, names, settings, lifecycle: Rc::clone(&lifecycle) });
     // A queue that is shared with another process is left to it until there are servers to ask, and at a stop.
     let shared = config.socket.is_some();
+    let stopped = async {
+        lifecycle.stopped().await;
+        if !shared {
+            sleep(STILL_ACCEPTING).await;
+        }
+    };
+    let mut stopped = std::pin::pin!(stopped);
+    let others = async {
+        while shared && !reader.host.ready() {
+            sleep(ACCEPT_PAUSE).await;
+        }
+    };
     tokio::select! {
-        () = async {
-            while shared && !reader.host.ready() {
-                sleep(ACCEPT_PAUSE).await;
-            }
-            accept(&listener, &reader, &clients).await;
-        } => {}
-        () = async {
-            lifecycle.stopped().await;
-            if !shared {
-                sleep(STILL_ACCEPTING).await;
-            }
-        } => {}
+        () = others => accept(&listener, &reader, &clients, stopped).await,
+        () = stopped.as_mut() => {}
+    }
+    if !shared {
+        take_queued(listener, &reader, &clients).await;
     }
-    drop(listener);
     // Open connections are answering; silent ones are given up in time, and long answers are not cut off.
     clients.none_left().await;
 }
 
-async fn accept(listener: &TcpListener, reader: &Rc<Reader>, clients: &Rc<Clients>) {
+/// Takes connections until told to stop. At the limit room is made for one that has come; it is not dropped again.
+async fn accept(
+    listener: &TcpListener,
+    reader: &Rc<Reader>,
+    clients: &Rc<Clients>,
+    mut stopped: Pin<&mut impl Future<Output = ()>>,
+) {
     loop {
-        clients.room().await;
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(connection(stream, Rc::clone(reader), clients.join()));
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped.as_mut() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => attend(stream, reader, clients).await,
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
+/// Takes what the kernel has accepted: its requests count as taken, and would be reset with the listener.
+async fn take_queued(listener: TcpListener, reader: &Rc<Reader>, clients: &Rc<Clients>) {
+    let Ok(listener) = listener.into_std() else { return };
+    loop {
+        let accepted = listener.accept().and_then(|(stream, _)| {
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        });
+        match accepted {
+            Ok(stream) => attend(stream, reader, clients).await,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn attend(stream: TcpStream, reader: &Rc<Reader>, clients: &Rc<Clients>) {
+    clients.room().await;
+    spawn_local(connection(stream, Rc::clone(reader), clients.join()));
+}
+
 async fn connection(stream: TcpStream, reader: Rc<Reader>, joined: Joined) {
     // Without it a small answer may wait for the client's acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
@@ -727,6 +780,9 @@
         let joined = [(); 3].map(|()| clients.join());
         let [first, second, third] = joined.each_ref().map(|joined| &joined.0);
         first.on_moved(true);
+        assert!(timeout(Duration::ZERO, clients.room()).await.is_err());
+        assert!(joined.iter().all(|joined| !joined.0.gives_way.get()), "nobody was looked at yet");
+        joined.iter().for_each(|joined| joined.0.on_dry());
         let busy = third.busy();
         for (gives_way, rest) in
             [([false, true, false], 2), ([true, true, false], 1), ([true, true, false], 1)]
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -337,7 +337,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let killed = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(killed.expect("kill runs").success());
     }
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -4,7 +4,7 @@
 
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::*;
 use serde_json::json;
@@ -72,3 +72,70 @@
     server.accept().read_to_string(&mut seen).expect("the node closes it");
     assert_eq!(seen, "");
 }
+
+/// At the limit of connections one more waits in the kernel's queue, with a request in it that counts as taken, while
+/// the node is told to end.
+#[test]
+fn who_waits_in_the_queue_at_the_limit_when_the_node_stops_is_answered() {
+    let origin = Server::start(|_| hit("value"));
+    let (mut node, _discovery) =
+        small(&[entry("s-1", origin.addr, "active"), entry("origin", origin.addr, "active")]);
+    // Each of these is in the middle of its body.
+    let half = "PUT /store/a HTTP/1.1\r\nHost: a\r\nX-Request-Id: 1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n";
+    let mut busy: Vec<_> = (0..20).map(|_| node.client()).collect();
+    for client in &mut busy {
+        client.write(half);
+        assert_eq!(client.read().expect("it may go on").status(), 100);
+    }
+    let mut queued = node.client();
+    queued.send("GET", "/read/a", "X-Deadline-Ms: 8000\r\n", "");
+    node.terminate();
+    // Before the mend the listener was closed, queue and all, 0.6 s after the signal.
+    let signalled = Instant::now();
+    while signalled.elapsed() < Duration::from_secs(1) && TcpStream::connect(node.addr).is_ok() {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    for client in &mut busy {
+        client.write("body");
+        assert!(client.read().is_some(), "what was taken is answered");
+    }
+    assert_eq!(queued.read().expect("an answer").status(), 200);
+    assert_eq!(node.exit().code(), Some(0));
+}
+
+/// A node with as few descriptors as may be: clients have 20 of them.
+fn small(known: &[serde_json::Value]) -> (Node, Discovery) {
+    let discovery = Discovery::start();
+    let mut config = config(discovery.server.addr, known);
+    config["limits"]["sockets"] = json!(64);
+    (Node::start(&config), discovery)
+}
+
+#[test]
+fn at_the_limit_nobody_gives_way_before_somebody_waits() {
+    let cache = Server::start(|_| hit("value"));
+    let (node, _discovery) = small(&[entry("s-1", cache.addr, "active")]);
+    let mut clients: Vec<_> = (0..20).map(|_| node.client()).collect();
+    for _ in 0..2 {
+        for client in &mut clients {
+            client.send("GET", "/read/a", "X-Deadline-Ms: 8000\r\n", "");
+            assert_eq!(client.read().expect("it is still open").status(), 200);
+        }
+    }
+}
+
+/// The node stands still until more connections than it may have lie in its queue, each with a request.
+#[test]
+fn a_request_that_lies_in_the_kernel_is_read_before_its_connection_gives_way() {
+    let cache = Server::start(|_| hit("value"));
+    let (node, _discovery) = small(&[entry("s-1", cache.addr, "active")]);
+    node.signal("-STOP");
+    let mut clients: Vec<_> = (0..40).map(|_| node.client()).collect();
+    for client in &mut clients {
+        client.send("GET", "/read/a", "X-Deadline-Ms: 20000\r\n", "");
+    }
+    node.signal("-CONT");
+    for client in &mut clients {
+        assert!(client.read().is_some(), "closed with its request unread");
+    }
+}
