Let a connection to a server rest for 10 ms after its answer

A server may say more on a connection some milliseconds after its answer. The node took the connection used last first, at once: a second answer then passed for the answer to the next request on it (Upstreams::take_idle in node/src/upstream.rs). On one that rests by then hyper ends it; the next request takes another, or a new one.

The test holds the second answer back until the next request has come to the server, and fails with a rest of nothing (seen: "not other").

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -43,6 +43,9 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// A connection whose answer has been read whole is free at once; one that is not is of no further use.
 const SETTLE: Duration = Duration::from_millis(5);
+/// A server may say more some milliseconds after its answer, up to 4 in plays. On a connection that is used again by
+/// then, it would pass for the answer to another request; on one that rests it ends the connection.
+const REST: Duration = Duration::from_millis(10);
 /// For a probe, and for a connect where the settings state no time.
 const PROBE_TIME: Duration = Duration::from_millis(500);
 
@@ -411,7 +414,10 @@
     fn take_idle(&self, server: &ServerId) -> Option<Connection> {
         let mut servers = self.servers.borrow_mut();
         let idle = &mut servers.get_mut(server)?.idle;
-        while let Some(connection) = idle.pop() {
+        let mut rested = idle.partition_point(|connection| connection.idle_since.elapsed() >= REST);
+        while rested > 0 {
+            rested -= 1;
+            let connection = idle.remove(rested);
             if !connection.sender.is_closed() && connection.idle_since.elapsed() < self.idle_time {
                 return Some(connection);
             }
@@ -682,6 +688,46 @@
         });
     }
 
+    /// The server's second answer is held back until the next request has come to it.
+    #[test]
+    fn a_second_answer_is_not_taken_for_the_answer_to_another_request() {
+        on_loopback(|listener| async move {
+            let upstreams = start(8);
+            upstreams.update(&list(listener.local_addr().unwrap(), ServerState::Ready));
+            let (server, payload) = (ServerId("s-1".into()), payload(""));
+            let answer = |text: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{text}");
+            let serve = async {
+                let (mut first, _) = listener.accept().await.unwrap();
+                let _ = first.read(&mut [0; 1024]).await.unwrap();
+                first.write_all(answer("first").as_bytes()).await.unwrap();
+                let other = tokio::select! {
+                    other = listener.accept() => Some(other.unwrap().0),
+                    _ = first.readable() => None,
+                };
+                first.write_all(answer("again").as_bytes()).await.unwrap();
+                if let Some(mut other) = other {
+                    let _ = other.read(&mut [0; 1024]).await.unwrap();
+                    other.write_all(answer("other").as_bytes()).await.unwrap();
+                }
+                std::future::pending().await
+            };
+            let ask = async {
+                for expected in ["first", "other"] {
+                    let ended = exchange(&upstreams, &server, &payload, &Sent::default()).await;
+                    let body = ended.reply.map(|reply| reply.body);
+                    assert!(
+                        matches!(body, Some(Answered::Whole(body)) if body == expected),
+                        "not {expected}"
+                    );
+                }
+            };
+            tokio::select! {
+                () = ask => {}
+                () = serve => {}
+            }
+        });
+    }
+
     #[test]
     fn at_the_limit_the_idlest_connection_makes_room_and_none_is_opened_beyond() {
         on_loopback(|listener| async move {
