Let a test of long answers read to their end before it counts them as served

a_long_answer_begins_at_once_and_no_timer_cuts_it stopped to read behind the last byte of the value, left, and then expected two requests served; with chunks the end comes after that, and who leaves before it has not been served. Now it reads to the end of the framing and counts the bytes of the value, so what it checked it still checks.

--- a/node/tests/bodies.rs
+++ b/node/tests/bodies.rs
@@ -216,12 +216,16 @@
             server.write_all(b"0\r\n\r\n").unwrap();
         }
         let mut got = Vec::new();
-        while got.iter().filter(|byte| **byte == b'x').count() < rest.len() {
+        // To its very end: who leaves before that has not been served.
+        let whole =
+            |got: &[u8]| if is_chunked { got.ends_with(b"0\r\n\r\n") } else { got.len() == rest.len() };
+        while !whole(&got) {
             let mut buffer = vec![0; 8 << 10];
             let n = client.read(&mut buffer).unwrap();
             assert!(n > 0, "cut off");
             got.extend_from_slice(&buffer[..n]);
         }
+        assert_eq!(got.iter().filter(|byte| **byte == b'x').count(), rest.len());
     }
     wait_until("both have ended", || (figures(&node)["inflight"] == 0).then_some(()));
     assert_eq!(figures(&node)["success"]["read"], 2);
