Read a configuration again that was half written when the hang-up came

follow_discovery in node/src/main.rs read the file once, at the signal; where that crossed its writing the node stayed with an address that ends 1.5 s later, and said so in one line, for ever. It now reads a file that makes no sense again, every 0.1 s for 3.5 s: what discovery tells counts as told 4 s after the signal. One line and one count a signal, as before.

The test writes half of the file, waits until that shows in reconfig_failed, and writes the whole without a signal; without the mend nobody asks at the new address for 30 s (seen).

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -21,10 +21,12 @@
 
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, Instant};
 
 use config::Config;
 use discovery::Discovery;
@@ -112,19 +114,36 @@
     Ok(())
 }
 
+/// Where the file makes no sense at a hang-up it may still be being written: it is read again so often, ...
+const READ_AGAIN: Duration = Duration::from_millis(100);
+/// ... for so long: what discovery tells at its new place counts as told 4 s after the signal.
+const BEING_WRITTEN: Duration = Duration::from_millis(3500);
+
 /// At each hang-up the configuration may have been replaced, and discovery moved. A file that makes no sense
 /// changes nothing: a node in service must not end by it.
 async fn follow_discovery(mut hangup: Signal, discovery: Rc<Discovery>, figures: Rc<Figures>) {
-    while hangup.recv().await.is_some() {
+    // Until when a file that made no sense is read again.
+    let mut unread: Option<Instant> = None;
+    loop {
+        let signalled = tokio::select! {
+            signal = hangup.recv() => match signal {
+                Some(()) => true,
+                None => return,
+            },
+            () = sleep(READ_AGAIN), if unread.is_some_and(|until| Instant::now() < until) => false,
+        };
         match config::replaced_discovery() {
             Ok(endpoints) => {
                 figures::add_one(&figures.reconfig_ok);
                 discovery.move_to(endpoints);
+                unread = None;
             }
-            Err(what) => {
+            Err(what) if signalled => {
                 figures::add_one(&figures.reconfig_failed);
                 eprintln!("tackstage: {}", what.to_string().replace('\n', " "));
+                unread = Some(Instant::now() + BEING_WRITTEN);
             }
+            Err(_) => {}
         }
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -333,10 +333,15 @@
 
     /// Replaces its configuration file and tells it so.
     pub fn reconfigure(&self, text: &str) {
-        std::fs::write(&self.config.0, text).expect("the file can be replaced");
+        self.rewrite(text);
         self.signal("-HUP");
     }
 
+    /// Replaces its configuration file.
+    pub fn rewrite(&self, text: &str) {
+        std::fs::write(&self.config.0, text).expect("the file can be replaced");
+    }
+
     pub fn signal(&self, name: &str) {
         let killed = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(killed.expect("kill runs").success());
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -139,3 +139,20 @@
         assert!(client.read().is_some(), "closed with its request unread");
     }
 }
+
+/// The signal comes while the file is being written; what is written then is followed without another one.
+#[test]
+fn a_file_that_is_half_written_at_the_hang_up_is_read_when_it_is_whole() {
+    let cache = Server::start(|_| hit("value"));
+    let (before, after) = (Discovery::start(), Discovery::start());
+    let known = [entry("s-1", cache.addr, "active")];
+    let mut config = config(before.server.addr, &known);
+    config["ops"] = json!("127.0.0.1:0");
+    let node = Node::start(&config);
+    let whole = common::config(after.server.addr, &known).to_string();
+    node.reconfigure(&whole[..whole.len() / 2]);
+    let failed = || node.call("GET", "/-/metrics").body.contains("\"reconfig_failed\":1");
+    wait_until("the half is seen", || failed().then_some(()));
+    node.rewrite(&whole);
+    assert_eq!(after.server.next().path(), "/registry/instances");
+}
