Say so when discovery answers with an older list

An answer that is older than what was told left the list that stands and was asked for anew, without a word: the follower refuses it silently, and the driver (client/src/driver.rs) told of failures only. It is now news of its own, one line in the node's log and in list watch. The test has a service answer with version 3 where 5 is held; the news did not exist before, so there was nothing to see fail but the compiler.

--- a/cli/src/list.rs
+++ b/cli/src/list.rs
@@ -39,7 +39,7 @@
         match following.next().await {
             News::List(list) if list.servers.is_empty() && !list.full => {}
             News::List(list) => show(&list, args.json)?,
-            News::Failed(what) => tracing::warn!("{what}"),
+            News::Failed(what) | News::Older(what) => tracing::warn!("{what}"),
         }
     }
 }
--- a/client/src/driver.rs
+++ b/client/src/driver.rs
@@ -49,6 +49,8 @@
     List(List),
     /// No endpoint answers; the last list stands.
     Failed(String),
+    /// An answer that is older than what was told; the last list stands, and another call is made.
+    Older(String),
 }
 
 /// One call for the list at one address.
@@ -164,6 +166,11 @@
                         }
                     };
                     self.follower.ended(call, told, now, &mut actions);
+                    if let (Some(told), false) = (told, actions.contains(&Action::Tell { call })) {
+                        let older = format!("{addr}: answered with an older list, version {}", told.version);
+                        self.trouble.clone_from(&older);
+                        self.news.push_back(News::Older(older));
+                    }
                     self.act(actions, result.ok());
                 }
             }
@@ -208,3 +215,43 @@
     })
     .await
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+    use tokio::net::TcpListener;
+
+    #[tokio::test]
+    async fn an_older_list_is_said_and_the_call_made_again() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let service = async {
+            for version in [3, 6] {
+                let (stream, _) = listener.accept().await.unwrap();
+                let mut stream = BufReader::new(stream);
+                let mut line = String::new();
+                while !line.ends_with("\r\n\r\n") {
+                    assert!(stream.read_line(&mut line).await.unwrap() > 0);
+                }
+                let list = format!("{{\"version\":{version},\"full\":true,\"servers\":[]}}");
+                let head =
+                    format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n", list.len());
+                stream.write_all(format!("{head}\r\n{list}").as_bytes()).await.unwrap();
+            }
+            std::future::pending().await
+        };
+        let following = async {
+            let mut following = Following::new(vec![addr], Some(5), Retry::Own, 7);
+            following.start();
+            let older = following.next().await;
+            assert!(matches!(&older, News::Older(what) if what.contains("version 3")), "{older:?}");
+            let newer = following.next().await;
+            assert!(matches!(&newer, News::List(list) if list.version == 6), "{newer:?}");
+        };
+        tokio::select! {
+            () = service => {}
+            () = following => {}
+        }
+    }
+}
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -88,6 +88,7 @@
     fn tell(&self, news: News) {
         match news {
             News::List(list) => self.handle.tell(Heard::List(List::from(list))),
+            News::Older(what) => eprintln!("discovery: {what}"),
             News::Failed(what) => {
                 eprintln!("discovery: {what}");
                 self.handle.tell(Heard::ListFailed);
