Need no interval for asking where the list is pushed

guarantees.ask-every-s is stated by the wire only for lists that are asked for, but its absence ended the start of a node with pushed lists (settings/src/lib.rs). The test fails without the change (by reading: the key was needed in both modes; not run so). A second one holds what each setting that is absent stands for.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -99,6 +99,11 @@
         }
         _ => CacheMode::Through,
     };
+    let membership = match need("membership-mode", text(top, "membership-mode")?)? {
+        "pushed" => Membership::Pushed,
+        "on_request" => Membership::OnRequest,
+        other => return Err(format!("setting membership-mode: pushed or on_request expected, got {other}")),
+    };
     Ok(Settings {
         balancers: need("balancers", opt(top, "balancers", "a whole number", Value::as_u64)?)?
             .try_into()
@@ -106,13 +111,7 @@
         zone: text(top, "locality")?.unwrap_or("").into(),
         classes,
         tenants,
-        membership: match need("membership-mode", text(top, "membership-mode")?)? {
-            "pushed" => Membership::Pushed,
-            "on_request" => Membership::OnRequest,
-            other => {
-                return Err(format!("setting membership-mode: pushed or on_request expected, got {other}"))
-            }
-        },
+        membership,
         cache,
         weights: match text(top, "weight-source")? {
             Some("nominal") => WeightSource::Nominal,
@@ -120,7 +119,7 @@
             Some("live") => WeightSource::Live,
             _ => WeightSource::Off,
         },
-        guarantees: guarantees(object(top, "guarantees").unwrap_or(&none))?,
+        guarantees: guarantees(object(top, "guarantees").unwrap_or(&none), membership)?,
         limits: limits(object(top, "limits").unwrap_or(&none))?,
         prices: prices(object(top, "prices").unwrap_or(&none))?,
         round: number(top, "round-s")?.unwrap_or(0.0),
@@ -150,11 +149,15 @@
     })
 }
 
-fn guarantees(from: &Object) -> Result<Guarantees, String> {
+fn guarantees(from: &Object, membership: Membership) -> Result<Guarantees, String> {
     let figure = |name: &str| need(&format!("guarantees.{name}"), number(from, name)?);
     Ok(Guarantees {
         answer_grace: figure("grace-to-answer-s")?,
-        ask_every: figure("ask-every-s")?,
+        // Nobody has to ask for a list that is pushed.
+        ask_every: match membership {
+            Membership::Pushed => number(from, "ask-every-s")?.unwrap_or(0.0),
+            Membership::OnRequest => figure("ask-every-s")?,
+        },
         cold_from: figure("cold-from")?,
         ramp: figure("ramp-time-s")?,
         drain_grace: figure("drain-grace-s")?,
@@ -203,3 +206,43 @@
     let price = |name| Ok::<_, String>(number(from, name)?.unwrap_or(0.0));
     Ok(Prices { connection: price("connection")?, handshake: price("handshake")? })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    /// As little as a deployment may state.
+    fn least(membership: &str) -> Value {
+        json!({
+            "balancers": 1, "membership-mode": membership, "grades": [{"name": "read", "hard-limit-s": 0.04}],
+            "guarantees": {"grace-to-answer-s": 0.02, "ask-every-s": 10.0, "cold-from": 0.3, "ramp-time-s": 8.0,
+                           "drain-grace-s": 0.25, "fall-multiple": 3.0, "fall-s": 3.0},
+            "limits": {"max-attempts": 1}
+        })
+    }
+
+    /// What is not stated forbids, costs nothing, or is the strictest of its kind.
+    #[test]
+    fn a_setting_that_is_absent_changes_nothing_else() {
+        let settings = parse(&least("on_request")).expect("enough");
+        assert_eq!(settings.validate(), Ok(()));
+        let class = &settings.classes[0];
+        assert_eq!((class.effect, class.group, class.aim), (Effect::Unsafe, Group::Cell, 0.04));
+        assert_eq!((settings.cache, settings.tenants.len()), (CacheMode::Through, 0));
+        assert_eq!(settings.limits, Limits { max_attempts: 1, ..Limits::default() });
+        assert_eq!(settings.prices, Prices::default());
+        assert_eq!(settings.guarantees.budget, None);
+    }
+
+    #[test]
+    fn how_often_to_ask_is_needed_only_where_the_list_is_asked_for() {
+        for (membership, named) in [("pushed", None), ("on_request", Some("guarantees.ask-every-s"))] {
+            let mut setup = least(membership);
+            setup["guarantees"].as_object_mut().unwrap().remove("ask-every-s");
+            let wrong = parse(&setup).err().map(|e| e.to_string());
+            assert_eq!(wrong.is_some(), named.is_some());
+            assert!(wrong.unwrap_or_default().contains(named.unwrap_or("")));
+        }
+    }
+}
