--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -156,3 +156,32 @@
     node.rewrite(&whole);
     assert_eq!(after.server.next().path(), "/registry/instances");
 }
+
+/// Also one that comes before there is anybody to send to, and a second one while answers are out.
+#[test]
+fn a_signal_to_end_that_comes_early_or_twice_loses_nothing() {
+    let mut config = config(refusing(), &[]);
+    config["known"] = serde_json::Value::Null;
+    let mut early = Node::start(&config);
+    early.terminate();
+    assert_eq!(early.exit().code(), Some(0));
+
+    let (release, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let cache = Server::start(move |_| {
+        let _ = gate.lock().unwrap().recv();
+        hit("value")
+    });
+    let discovery = Discovery::start();
+    let mut node = Node::start(&common::config(discovery.server.addr, &[entry("s-1", cache.addr, "active")]));
+    let (mut idle, mut slow) = (node.client(), node.client());
+    idle.get("/health/ready", "");
+    slow.send("GET", "/read/a", "X-Deadline-Ms: 8000\r\n", "");
+    cache.next();
+    node.terminate();
+    assert!(idle.read().is_none(), "the first signal was heard");
+    node.terminate();
+    release.send(()).unwrap();
+    assert_eq!(slow.read().expect("what was taken is answered").body, "value");
+    assert_eq!(node.exit().code(), Some(0));
+}
