--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -347,6 +347,18 @@
         assert!(killed.expect("kill runs").success());
     }
 
+    /// Runs this while the node stands still, and lets it go on: for the node all of it comes at once.
+    pub fn standing_still<T>(&self, meanwhile: impl FnOnce() -> T) -> T {
+        self.signal("-STOP");
+        let stat = || std::fs::read_to_string(format!("/proc/{}/stat", self.id())).expect("it lives");
+        // Its state is behind its name, which is in brackets.
+        let stopped = || stat().rsplit_once(')').is_some_and(|(_, rest)| rest.trim_start().starts_with('T'));
+        wait_until("the node stands still", || stopped().then_some(()));
+        let result = meanwhile();
+        self.signal("-CONT");
+        result
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         wait_until("the node exits", || self.child.try_wait().unwrap())
     }
