See that a client has left also behind 64 kB, and behind a long body

A body of over 64 KiB was not looked behind at all: its request went to a server whose connect had been late, after its client had gone (test on sockets).

Change: 64 KiB are read ahead; behind more the kernel is asked for the end every 50 ms, which it knows without reading; a long body's request is watched in the same way. Its attempt that is out gets what has come, as it may not be called off everywhere.

What stays unseen: an end that the client's own kernel still holds back, as the body before it fills the node's receive buffer; nobody can tell that from a client who goes on sending.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -20,7 +20,7 @@
 use mallowpaddle::{Key, Seconds, Settings};
 use mallowpaddle_settings::Names;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
@@ -56,9 +56,12 @@
 /// How often a connection is looked at, as its state may have changed meanwhile.
 const LOOK: Duration = Duration::from_millis(400);
 const LONGEST_HEAD: usize = 32 << 10;
-/// Most that is read ahead, in pieces, while a request waits, to see whether its client is still there.
-const MOST_AHEAD: usize = LONGEST_HEAD;
+/// Most that is read ahead, in pieces, while a request waits, to see whether its client is still there. Clients that
+/// sent much at once and left had up to 35 kB behind a request in plays.
+const MOST_AHEAD: usize = 2 * LONGEST_HEAD;
 const PIECE: usize = 1 << 10;
+/// Behind more than that, how often the kernel is asked: by the terms nothing is sent on 0.3 s after the end.
+const LOOK_BEHIND: Duration = Duration::from_millis(50);
 /// Longest wait that is believed of a client.
 const LONGEST_WAIT: u64 = 3_600_000;
 /// After the signal to stop, new connections go on coming for up to 0.4 s.
@@ -194,21 +197,27 @@
 }
 
 impl Stream {
-    /// Ends once the client has left. Only while a request that has come whole waits for its answer: hyper looks for
-    /// that as well, but not past bytes that lie behind the request.
+    /// Ends once the client has left. Only while a request waits for its answer: hyper looks for that as well, but
+    /// neither past bytes that lie behind the request, nor past those of its body that nobody takes yet.
     async fn left(&self) {
-        while self.ahead.borrow().len() < MOST_AHEAD && self.tcp.readable().await.is_ok() {
+        loop {
+            let Ok(ready) = self.tcp.ready(Interest::READABLE).await else { return };
+            // Where the kernel has the end already, it shows at once; elsewhere it has to be read up to.
+            if ready.is_read_closed() {
+                return;
+            }
+            if self.ahead.borrow().len() >= MOST_AHEAD {
+                sleep(LOOK_BEHIND).await;
+                continue;
+            }
             let mut ahead = self.ahead.borrow_mut();
             ahead.reserve(PIECE);
             match self.tcp.try_read_buf(&mut *ahead) {
-                Ok(0) => return,
-                Ok(_) => {}
+                Ok(1..) => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => return,
+                Ok(0) | Err(_) => return,
             }
         }
-        // Nobody who sends so much behind a request is a client by the protocol; its end is seen with the answer.
-        std::future::pending().await
     }
 
     /// Takes in what has come, also where the reactor has not told of it yet. False where there is nothing.
@@ -632,9 +641,21 @@
                 };
                 response(answer, taken)
             }
-            // What comes is a part of its body; where that breaks off, whoever sends it on hears of it.
             Ok((ticket, Some(long))) => {
-                let (answer, taken) = ticket.answer().await;
+                let answered = tokio::select! {
+                    biased;
+                    answered = ticket.answer() => Some(answered),
+                    () = stream.left() => None,
+                };
+                let Some((answer, taken)) = answered else {
+                    // An attempt that is out may not be called off everywhere, and gets what has come of the body.
+                    let body = Rc::downgrade(&long);
+                    drop(long);
+                    while body.strong_count() > 0 {
+                        sleep(LOOK_BEHIND).await;
+                    }
+                    return Err(Left);
+                };
                 long.end();
                 response(answer, taken)
             }
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -73,6 +73,30 @@
     assert_eq!(seen, "");
 }
 
+/// A long body is not read ahead of who takes it, and its client's end lies behind it.
+#[test]
+fn a_client_that_leaves_a_long_body_behind_during_the_connect_is_not_sent_on() {
+    for cancel in [true, false] {
+        let origin = FullQueue::start();
+        let discovery = Discovery::start();
+        let mut config = config(discovery.server.addr, &[entry("origin", origin.addr(), "active")]);
+        config["settings"]["limits"]["cancel"] = json!(cancel);
+        config["settings"]["limits"]["dial-timeout-s"] = json!(60.0);
+        config["ops"] = json!("127.0.0.1:0");
+        let node = Node::start(&config);
+        let mut client = node.client();
+        client.send("PUT", "/order/a", "X-Deadline-Ms: 100000\r\n", &"x".repeat(100_000));
+        in_flight(&node, 1);
+        drop(client);
+        in_flight(&node, 0);
+        if !cancel {
+            let mut seen = String::new();
+            origin.accept().read_to_string(&mut seen).expect("the node closes it");
+            assert_eq!(seen, "");
+        }
+    }
+}
+
 /// At the limit of connections one more waits in the kernel's queue, with a request in it that counts as taken, while
 /// the node is told to end.
 #[test]
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -107,9 +107,14 @@
 #[test]
 fn a_client_that_goes_away_behind_bytes_of_another_request_ends_its_attempt() {
     let ahead = "GET /read/b HTTP/1.1\r\nHost: a\r\nX-Request-Id: 2\r\n\r\n";
-    // Read with the request, read after it, and more than is read ahead of it at once.
-    for (with, after) in [(ahead, ""), ("", ahead), ("", &ahead.repeat(90)), ("GET /re", "ad/b HTTP/1.1\r\n")]
-    {
+    // Read with the request, read after it, more than hyper reads ahead of it, and more than fits a head.
+    for (with, after) in [
+        (ahead, ""),
+        ("", ahead),
+        ("", &ahead.repeat(90)),
+        ("", &ahead.repeat(1600)),
+        ("GET /re", "ad/b HTTP/1.1\r\n"),
+    ] {
         let cache = Server::start(|_| Reply::Silence);
         let (node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
         let mut client = node.client();
