Let housekeeping go by the tightest aim, so that short aims hear of a refusal in time

Cause: `TICK` in src/balance.rs was 50 ms whatever the settings say, while requests are held for a quarter of their aim. Now it is that quarter of the tightest aim, 10 to 50 ms; with aims of 200 ms and more nothing changes.

Proof: the test holds a request at aims of 0.04 to 10 s and is refused after 0.05 s at 0.04 without the change.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -44,8 +44,10 @@
 const PATIENCE: f64 = 0.25;
 /// The retry budget where the settings state none: repeats must not become a storm.
 const OWN_BUDGET: Budget = Budget { span: 10.0, free: 20.0, ratio: 0.1 };
-/// Housekeeping interval: short against any aim, long against a round.
+/// Housekeeping interval, long against a round: no longer than the `PATIENCE` of the tightest aim, and no
+/// shorter than the least.
 const TICK: Seconds = 0.05;
+const LEAST_TICK: Seconds = 0.01;
 /// First wait, about, before a failed call for the list is made again; doubled three times at most.
 const REASK: Seconds = 0.2;
 /// How long a key is taken to be kept where it was last served.
@@ -319,6 +321,7 @@
 struct Node {
     settings: Settings,
     tightest_aim: Seconds,
+    tick: Seconds,
     rng: u64,
     now: Seconds,
     out: Vec<Action>,
@@ -417,6 +420,7 @@
         let nodes = f64::from(settings.balancers);
         Ok(Balancer(Node {
             tightest_aim,
+            tick: (PATIENCE * tightest_aim).clamp(LEAST_TICK, TICK),
             budget: settings.guarantees.budget.unwrap_or(OWN_BUDGET),
             spare: SPARE,
             rng: mix(seed),
@@ -461,7 +465,7 @@
     fn on_event(&mut self, event: Event) {
         if self.started.is_none() {
             self.started = Some(self.now);
-            self.out.push(Action::SetTimer { token: TICK_TOKEN, after: TICK });
+            self.out.push(Action::SetTimer { token: TICK_TOKEN, after: self.tick });
             self.follow_roster();
         }
         match event {
@@ -496,7 +500,7 @@
     // ---- Housekeeping ---------------------------------------------------------------------------------
 
     fn on_tick(&mut self) {
-        self.out.push(Action::SetTimer { token: TICK_TOKEN, after: TICK });
+        self.out.push(Action::SetTimer { token: TICK_TOKEN, after: self.tick });
         if self.now >= self.next_purge {
             self.memory.retain(|_, at| self.now - *at < MEMORY);
             self.heat.retain(|_, heat| heat.at(self.now) > LEAST);
@@ -546,13 +550,13 @@
     /// What a cold server may be sent grows by half the rule's multiple of what warm ones get by the mean:
     /// popular keys alone, asked for by all nodes, could push it over.
     fn refresh_allowances(&mut self) {
-        let left = 1.0 - TICK / self.ramp();
+        let left = 1.0 - self.tick / self.ramp();
         self.tenants.iter_mut().for_each(|t| t.used *= left);
         let multiple = self.settings.guarantees.fall_multiple / 2.0;
         let taken = self.taken_a_second();
         for s in self.servers.values_mut().filter(|s| s.share < s.size) {
             let rate = multiple * s.share / self.sizes.max(s.size) * taken;
-            s.allowance = (s.allowance + rate * TICK).min(self.spare);
+            s.allowance = (s.allowance + rate * self.tick).min(self.spare);
         }
     }
 
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -138,6 +138,36 @@
     assert!(refused(&node.pass(0.06)), "a quarter of its time is over, of the aim it is not");
 }
 
+/// Housekeeping came every 50 ms whatever the aims were, and a refusal after the client's time was over.
+#[test]
+fn a_request_with_a_short_aim_hears_of_its_refusal_in_time() {
+    for aim in [0.04, 0.1, 0.5, 10.0] {
+        let mut settings = settings();
+        settings.classes.iter_mut().for_each(|class| class.aim = aim);
+        let mut node = Node::new(settings, 1);
+        let tick = |actions: &[Action]| {
+            let ticks = actions.iter().filter_map(|action| match action {
+                Action::SetTimer { token: TimerToken(0), after } => Some(*after),
+                _ => None,
+            });
+            ticks.last().expect("housekeeping goes on")
+        };
+        let mut after = tick(&node.event(Event::Roster(RosterNews::Full(vec![]))));
+        assert!(after <= 0.05, "{after}");
+        let asked = node.now;
+        assert!(!refused(&node.request(NewRequest { left: 2.0 * aim, ..read(1, 1) })));
+        loop {
+            node.now += after;
+            let actions = node.event(Event::Timer(TimerToken(0)));
+            if refused(&actions) {
+                break;
+            }
+            after = tick(&actions);
+        }
+        assert!(node.now - asked <= 0.5 * aim + 1e-9, "{aim}: refused after {}", node.now - asked);
+    }
+}
+
 #[test]
 fn every_request_is_answered_before_its_deadline_even_if_nothing_answers() {
     for class in [READ, KEYED, UNSAFE] {
