--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1148,8 +1148,9 @@
 
     fn on_roster(&mut self, news: RosterNews) {
         if news == RosterNews::Failed {
-            // Calls that failed together must not come again together.
-            let wait = REASK * f64::from(1u32 << self.roster.failures.min(3));
+            // Calls that failed together must not come again together, and none after the time to ask.
+            let longest = self.settings.guarantees.ask_every.max(REASK);
+            let wait = (REASK * f64::from(1u32 << self.roster.failures.min(3))).min(longest);
             self.roster = Roster {
                 next_ask: self.now + wait * (0.5 + self.random()),
                 failures: self.roster.failures + 1,
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -516,6 +516,21 @@
     assert!(asks(&node.pass(9.0)) >= 1);
 }
 
+/// After a failed call the list that a node holds counts for four times the time to ask, whatever that is.
+#[test]
+fn failed_calls_are_made_again_within_the_time_that_the_settings_give() {
+    for ask_every in [0.3, 1.0, 10.0] {
+        let mut settings = asking();
+        settings.guarantees.ask_every = ask_every;
+        let mut node = Node::new(settings, 1);
+        node.event(Event::Roster(RosterNews::Cached(fleet(4))));
+        for _ in 0..20 {
+            node.event(Event::Roster(RosterNews::Failed));
+            assert!(asks(&node.pass(2.0 * ask_every)) >= 1, "{ask_every}");
+        }
+    }
+}
+
 // ---- Failures met ----
 
 /// Reads answered in 50 ms each, so that the node has a usual answer time to rest by.
