Test that each answer that is no list is said once and the next one counts

Ruled out as a fault: answers that are rotten, half written, refused, older or indented, each held back until the line on the one before was seen. The test passes on the program as it is.

--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -303,6 +303,47 @@
     assert_eq!(node.get("/health/ready").status(), 503);
 }
 
+/// Each answer that is no news leaves the list that stands, costs one line, and the watch is opened anew. The next answer
+/// is held back until that line was seen.
+#[test]
+fn each_answer_that_is_no_list_or_an_older_one_is_said_once_and_the_next_one_counts() {
+    let (old, new) = (Server::start(|_| hit("old")), Server::start(|_| hit("new")));
+    let (say, answers) = std::sync::mpsc::channel::<Reply>();
+    let answers = std::sync::Mutex::new(answers);
+    let discovery = Server::start(move |_| answers.lock().unwrap().recv().unwrap_or(Reply::Silence));
+    let folder = Folder::new();
+    let log = folder.0.join("log");
+    let config = config(discovery.addr, &[entry("s-1", old.addr, "active")]);
+    let node = Node::start_with(&config, |command| command.stderr(std::fs::File::create(&log).unwrap()));
+    let said = || -> Vec<String> {
+        let text = std::fs::read_to_string(&log).unwrap();
+        text.lines().filter(|line| line.starts_with("discovery: ")).map(str::to_owned).collect()
+    };
+    let keep = |status: &str, body: &str| Reply::Keep(answer(status, "", body));
+    let whole = list(2, true, &[entry("s-2", new.addr, "active")]);
+    let half =
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{{\"version\":2,", whole.to_string().len());
+    for (count, (reply, what)) in [
+        (keep("200 OK", "nonsense"), "what is no list"),
+        (Reply::Close(half), "broke off"),
+        (keep("503 Service Unavailable", ""), "503"),
+        (keep("200 OK", &list(0, false, &[]).to_string()), "older list, version 0"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        discovery.next();
+        say.send(reply).unwrap();
+        wait_until("its line", || (said().len() > count).then_some(()));
+        assert!(said().len() == count + 1 && said()[count].contains(what), "{what}: {:?}", said());
+        assert_eq!(node.get("/read/a").body, "old", "{what}");
+    }
+    let indented = serde_json::to_string_pretty(&whole).unwrap();
+    say.send(keep("200 OK", &indented)).unwrap();
+    wait_until("the new list", || (node.get("/read/a").body == "new").then_some(()));
+    assert_eq!(said().len(), 4, "{:?}", said());
+}
+
 /// The default for the signal is to end the process.
 #[test]
 fn on_sighup_the_node_follows_discovery_to_where_the_file_says() {
