Read ahead of a waiting request in pieces of 8 kB

Need: a long body on its way is read ahead, too, since its client's end is looked for; at 1 kB a read that would be many calls to the kernel. Only who has sent something behind its request takes the room.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -59,7 +59,7 @@
 /// Most that is read ahead, in pieces, while a request waits, to see whether its client is still there. Clients that
 /// sent much at once and left had up to 35 kB behind a request in plays.
 const MOST_AHEAD: usize = 2 * LONGEST_HEAD;
-const PIECE: usize = 1 << 10;
+const PIECE: usize = 8 << 10;
 /// Behind more than that, how often the kernel is asked: by the terms nothing is sent on 0.3 s after the end.
 const LOOK_BEHIND: Duration = Duration::from_millis(50);
 /// Longest wait that is believed of a client.
