Test that a client that left before its request was read is not sent on

Ruled out as a fault: with the request, what lies behind it and the end in one moment nothing goes to a server, as the end is read in the same turn in which the attempt is made, before that is written.

--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -73,6 +73,29 @@
     assert_eq!(seen, "");
 }
 
+/// The request, what lies behind it and the end come in one moment, as on a node that was held up.
+#[test]
+fn a_client_that_left_before_its_request_was_read_is_not_sent_on() {
+    let cache = Server::start(|_| hit("value"));
+    let discovery = Discovery::start();
+    let node = Node::start(&config(discovery.server.addr, &[entry("s-1", cache.addr, "active")]));
+    let behind = "GET /read/behind HTTP/1.1\r\nHost: a\r\nX-Request-Id: 1\r\n\r\n";
+    for behind in ["", behind, &behind.repeat(1000)] {
+        let mut gone = resting(&node, 10);
+        while cache.requests.try_recv().is_ok() {}
+        node.standing_still(|| {
+            for client in &mut gone {
+                client.send("GET", "/read/gone", "X-Deadline-Ms: 20000\r\n", "");
+                client.write(behind);
+            }
+            drop(gone);
+        });
+        resting(&node, 1);
+        let sent: Vec<_> = cache.requests.try_iter().map(|request| request.path().to_owned()).collect();
+        assert_eq!(sent, ["/read/a"]);
+    }
+}
+
 /// A long body is not read ahead of who takes it, and its client's end lies behind it.
 #[test]
 fn a_client_that_leaves_a_long_body_behind_during_the_connect_is_not_sent_on() {
