--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -1037,6 +1037,52 @@
     assert_eq!(sent(&node.serve(1)), [home]);
 }
 
+/// However a fetch ends, and whether or not its own client has left meanwhile: who waited for it goes on, once, and who
+/// has left while waiting does not.
+#[test]
+fn those_who_wait_for_anothers_fetch_go_on_however_it_ends() {
+    let endings = [
+        Status::Success,
+        Status::Absent,
+        Status::Error,
+        Status::Overloaded,
+        Status::Broken,
+        Status::Unreachable,
+        Status::TimedOut,
+        Status::Cancelled,
+        Status::Void,
+    ];
+    for (cancel, left) in [(true, true), (true, false), (false, true), (false, false)] {
+        for ending in endings {
+            let mut aside =
+                Settings { cache: CacheMode::Aside { origin_kind: "origin".into() }, ..settings() };
+            aside.limits.cancel = cancel;
+            let mut entries = fleet(4);
+            entries.push(origin());
+            let mut node = Node::with(aside, 1, entries);
+            for n in 1..=3 {
+                node.request(read(n, 3));
+            }
+            let fetch = node.outcome(1, Status::Absent, Some(CacheNote::Miss));
+            assert_eq!(sent(&fetch), [origin().server]);
+            for n in 2..=3 {
+                assert!(sent(&node.outcome(n, Status::Absent, Some(CacheNote::Miss))).is_empty());
+            }
+            assert!(node.event(Event::Withdrawn(RequestId(3))).is_empty(), "it had nothing out");
+            let withdrawn = if left { node.event(Event::Withdrawn(RequestId(1))) } else { Vec::new() };
+            let called_off = withdrawn.iter().any(|action| matches!(action, Action::Cancel { .. }));
+            assert_eq!(called_off, left && cancel);
+            let mut after = node.outcome(1, ending, None);
+            after.extend(node.pass(0.3));
+            let went_on =
+                |n| after.iter().any(|a| matches!(a, Action::Send { request, .. } if request.0 == n));
+            assert!(went_on(2), "{ending:?}, cancel {cancel}, left {left}");
+            assert_eq!(node.sends[&RequestId(2)].len(), 2, "{ending:?}, cancel {cancel}, left {left}");
+            assert!(!went_on(3) && !(left && went_on(1)), "{ending:?}, cancel {cancel}, left {left}");
+        }
+    }
+}
+
 #[test]
 fn over_its_quota_a_tenant_gives_way_first() {
     let tenants = ["a", "b"].map(|n| Tenant { name: n.into(), quota: 20.0 }).to_vec();
