--- a/tests/random.rs
+++ b/tests/random.rs
@@ -54,6 +54,9 @@
                 if r.answered {
                     return Err("send after the final answer".into());
                 }
+                if !settings.limits.second_copies && r.sent.iter().any(|s| s.status.is_none()) {
+                    return Err("a second attempt while one is out".into());
+                }
                 if self.left.get(server).is_some_and(|&at| now > at + settings.guarantees.drain_grace) {
                     return Err("send to a server that drains".into());
                 }
@@ -130,6 +133,7 @@
     let mut settings = settings();
     settings.limits.probes = seed.is_multiple_of(2);
     settings.limits.peers = seed.is_multiple_of(5);
+    settings.limits.second_copies = !seed.is_multiple_of(2);
     if seed.is_multiple_of(3) {
         settings.cache = CacheMode::Aside { origin_kind: "origin".into() };
     }
@@ -274,6 +278,7 @@
         actions.extend(sends);
     };
     assert!(play(1, 3000, twice).unwrap_err().contains("unsafe request sent twice"));
+    assert!(play(2, 3000, twice).unwrap_err().contains("while one is out"));
     let mute = |actions: &mut Vec<Action>| actions.retain(|a| !matches!(a, Action::Fail(_)));
     assert!(play(1, 6000, mute).unwrap_err().contains("not answered in time"));
     let eager = |actions: &mut Vec<Action>| {
