--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -150,6 +150,50 @@
     assert_eq!(node.exit().code(), Some(0));
 }
 
+/// What comes while the node closes its listener, 0.6 s after the signal: it stands still for that time, and then has
+/// both the end of the time and a queue of connections before it.
+#[test]
+fn who_lies_in_the_queue_as_the_listener_is_closed_is_answered() {
+    let (release, gate) = std::sync::mpsc::channel::<()>();
+    let gate = std::sync::Mutex::new(gate);
+    let cache = Server::start(move |request| {
+        if request.path() == "/read/slow" {
+            let _ = gate.lock().unwrap().recv();
+        }
+        hit("value")
+    });
+    let discovery = Discovery::start();
+    let config = config(discovery.server.addr, &[entry("s-1", cache.addr, "active")]);
+    for _ in 0..10 {
+        let mut node = Node::start(&config);
+        let mut resting = resting(&node, 1);
+        // It keeps the node from its end.
+        let mut slow = node.client();
+        slow.send("GET", "/read/slow", "X-Deadline-Ms: 60000\r\n", "");
+        while cache.next().path() != "/read/slow" {}
+        node.terminate();
+        assert!(resting[0].read().is_none(), "the signal was heard");
+        let mut queued = node.standing_still(|| {
+            if TcpStream::connect(node.addr).is_err() {
+                return Vec::new();
+            }
+            let mut queued: Vec<_> = (0..12).map(|_| node.client()).collect();
+            ask(&mut queued);
+            std::thread::sleep(Duration::from_millis(700));
+            queued
+        });
+        answered(&mut queued);
+        release.send(()).unwrap();
+        assert_eq!(slow.read().expect("what was taken is answered").status(), 200);
+        assert_eq!(node.exit().code(), Some(0));
+        if !queued.is_empty() {
+            return;
+        }
+        // On a busy machine the listener may have been closed before the node stood still: once more.
+    }
+    panic!("the node never stood still in time");
+}
+
 /// A node with as few descriptors as may be: clients have 20 of them.
 fn small(known: &[serde_json::Value]) -> (Node, Discovery) {
     let discovery = Discovery::start();
