--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -76,11 +76,11 @@
 /// The request, what lies behind it and the end come in one moment, as on a node that was held up.
 #[test]
 fn a_client_that_left_before_its_request_was_read_is_not_sent_on() {
-    let cache = Server::start(|_| hit("value"));
-    let discovery = Discovery::start();
-    let node = Node::start(&config(discovery.server.addr, &[entry("s-1", cache.addr, "active")]));
     let behind = "GET /read/behind HTTP/1.1\r\nHost: a\r\nX-Request-Id: 1\r\n\r\n";
     for behind in ["", behind, &behind.repeat(1000)] {
+        let cache = Server::start(|_| hit("value"));
+        let discovery = Discovery::start();
+        let node = Node::start(&config(discovery.server.addr, &[entry("s-1", cache.addr, "active")]));
         let mut gone = resting(&node, 10);
         while cache.requests.try_recv().is_ok() {}
         node.standing_still(|| {
@@ -89,6 +89,7 @@
                 client.write(behind);
             }
             drop(gone);
+            in_the_kernel(&node, CLOSE_WAIT, 10);
         });
         resting(&node, 1);
         let sent: Vec<_> = cache.requests.try_iter().map(|request| request.path().to_owned()).collect();
@@ -96,6 +97,26 @@
     }
 }
 
+const ESTABLISHED: &str = "01";
+const CLOSE_WAIT: &str = "08";
+
+/// Waits until the kernel has so many of a node's connections in this state with something unread, or with their end.
+fn in_the_kernel(node: &Node, state: &str, count: usize) {
+    let own = format!("0100007F:{:04X}", node.addr.port());
+    wait_until("what was sent is in the kernel", || {
+        let list = std::fs::read_to_string("/proc/net/tcp").expect("the kernel's list");
+        let fields = list.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        // Local address, state, and what is unsent and unread.
+        let so = |fields: &Vec<&str>| {
+            let unread = fields.get(4).and_then(|queues| queues.split(':').nth(1));
+            fields.get(1) == Some(&own.as_str())
+                && fields.get(3) == Some(&state)
+                && unread.is_some_and(|unread| unread != "00000000")
+        };
+        (fields.filter(so).count() == count).then_some(())
+    });
+}
+
 /// A long body is not read ahead of who takes it, and its client's end lies behind it.
 #[test]
 fn a_client_that_leaves_a_long_body_behind_during_the_connect_is_not_sent_on() {
@@ -223,6 +244,7 @@
     let mut clients = node.standing_still(|| {
         let mut clients: Vec<_> = (0..40).map(|_| node.client()).collect();
         ask(&mut clients);
+        in_the_kernel(&node, ESTABLISHED, 40);
         clients
     });
     answered(&mut clients);
@@ -257,6 +279,7 @@
     let mut clients = resting(&node, 20);
     node.standing_still(|| {
         ask(&mut clients);
+        in_the_kernel(&node, ESTABLISHED, 20);
         node.terminate();
     });
     answered(&mut clients);
@@ -290,6 +313,7 @@
         let mut others: Vec<_> = (0..10).map(|_| node.client()).collect();
         ask(&mut others);
         ask(&mut clients);
+        in_the_kernel(&node, ESTABLISHED, 30);
         others
     });
     answered(&mut clients);
