--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -112,6 +112,22 @@
         Server { addr, requests, ended }
     }
 
+    /// One that holds some answers, each until it is let go.
+    pub fn gated(
+        holds: impl Fn(&Message) -> bool + Send + Sync + 'static,
+        reply: impl Fn(&Message) -> Reply + Send + Sync + 'static,
+    ) -> (Server, Sender<()>) {
+        let (release, gate) = channel();
+        let gate = Mutex::new(gate);
+        let server = Server::start(move |request| {
+            if holds(request) {
+                let _ = gate.lock().unwrap().recv();
+            }
+            reply(request)
+        });
+        (server, release)
+    }
+
     pub fn next(&self) -> Message {
         self.requests.recv_timeout(PATIENCE).expect("a request at the server")
     }
--- a/node/tests/crossings.rs
+++ b/node/tests/crossings.rs
@@ -175,14 +175,7 @@
 /// both the end of the time and a queue of connections before it.
 #[test]
 fn who_lies_in_the_queue_as_the_listener_is_closed_is_answered() {
-    let (release, gate) = std::sync::mpsc::channel::<()>();
-    let gate = std::sync::Mutex::new(gate);
-    let cache = Server::start(move |request| {
-        if request.path() == "/read/slow" {
-            let _ = gate.lock().unwrap().recv();
-        }
-        hit("value")
-    });
+    let (cache, release) = Server::gated(|request| request.path() == "/read/slow", |_| hit("value"));
     let discovery = Discovery::start();
     let config = config(discovery.server.addr, &[entry("s-1", cache.addr, "active")]);
     for _ in 0..10 {
@@ -346,12 +339,7 @@
     early.terminate();
     assert_eq!(early.exit().code(), Some(0));
 
-    let (release, gate) = std::sync::mpsc::channel::<()>();
-    let gate = std::sync::Mutex::new(gate);
-    let cache = Server::start(move |_| {
-        let _ = gate.lock().unwrap().recv();
-        hit("value")
-    });
+    let (cache, release) = Server::gated(|_| true, |_| hit("value"));
     let discovery = Discovery::start();
     let mut node = Node::start(&common::config(discovery.server.addr, &[entry("s-1", cache.addr, "active")]));
     let (mut idle, mut slow) = (node.client(), node.client());
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -131,14 +131,8 @@
 /// What was read ahead while a request waited is not lost, nor put in another place.
 #[test]
 fn requests_that_came_at_once_are_answered_one_after_the_other() {
-    let (release, gate) = std::sync::mpsc::channel::<()>();
-    let gate = std::sync::Mutex::new(gate);
-    let cache = Server::start(move |request| {
-        if request.path() == "/read/0" {
-            let _ = gate.lock().unwrap().recv();
-        }
-        hit(request.path())
-    });
+    let (cache, release) =
+        Server::gated(|request| request.path() == "/read/0", |request| hit(request.path()));
     let (node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
     let mut client = node.client();
     client.send("GET", "/read/0", "X-Deadline-Ms: 20000\r\n", "");
@@ -462,14 +456,7 @@
 
 #[test]
 fn on_sigterm_the_node_answers_all_it_took_and_what_still_comes_then_exits() {
-    let (release, gate) = std::sync::mpsc::channel::<()>();
-    let gate = std::sync::Mutex::new(gate);
-    let cache = Server::start(move |request| {
-        if request.path() == "/read/slow" {
-            let _ = gate.lock().unwrap().recv();
-        }
-        hit("value")
-    });
+    let (cache, release) = Server::gated(|request| request.path() == "/read/slow", |_| hit("value"));
     let (mut node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
     // The fresh one is accepted before the others and has sent nothing yet when the signal comes.
     let (mut fresh, mut idle, mut slow) = (node.client(), node.client(), node.client());
--- a/node/tests/ops.rs
+++ b/node/tests/ops.rs
@@ -111,17 +111,14 @@
 
 #[test]
 fn figures_agree_with_what_clients_and_servers_saw() {
-    let (release, gate) = std::sync::mpsc::channel::<()>();
-    let gate = std::sync::Mutex::new(gate);
-    let cache = Server::start(move |request| match request.path() {
-        "/read/slow" => {
-            let _ = gate.lock().unwrap().recv();
-            hit("value")
-        }
-        "/read/missing" => miss(),
-        "/order/broken" => Reply::Close(String::new()),
-        _ => hit("value"),
-    });
+    let (cache, release) = Server::gated(
+        |request| request.path() == "/read/slow",
+        |request| match request.path() {
+            "/read/missing" => miss(),
+            "/order/broken" => Reply::Close(String::new()),
+            _ => hit("value"),
+        },
+    );
     let origin = Server::start(|request| match request.path() {
         "/read/missing" => hit("from origin"),
         _ => Reply::Keep(answer("503 Service Unavailable", "X-Not-Run: 1\r\n", "")),
@@ -302,12 +299,7 @@
 
 #[test]
 fn a_connection_that_outlasts_a_short_drain_stays_in_use() {
-    let (release, gate) = std::sync::mpsc::channel::<()>();
-    let gate = std::sync::Mutex::new(gate);
-    let cache = Server::start(move |_| {
-        let _ = gate.lock().unwrap().recv();
-        hit("value")
-    });
+    let (cache, release) = Server::gated(|_| true, |_| hit("value"));
     let (node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
     let mut client = node.client();
     client.send("GET", "/read/a", "X-Deadline-Ms: 8000\r\n", "");
@@ -323,12 +315,7 @@
 
 #[test]
 fn sigterm_in_a_drain_ends_the_node_and_nothing_takes_it_back() {
-    let (release, gate) = std::sync::mpsc::channel::<()>();
-    let gate = std::sync::Mutex::new(gate);
-    let cache = Server::start(move |_| {
-        let _ = gate.lock().unwrap().recv();
-        hit("value")
-    });
+    let (cache, release) = Server::gated(|_| true, |_| hit("value"));
     let (mut node, _discovery) = start(&[entry("s-1", cache.addr, "active")]);
     let mut client = node.client();
     client.send("GET", "/read/a", "X-Deadline-Ms: 8000\r\n", "");
