--- /dev/null
+++ b/protocol/src/inside.rs
@@ -0,0 +1,312 @@
+//! What the nodes speak among themselves: bitcode in length-prefixed frames over TCP, on the first of the
+//! ephemeral ports of each coordinator.
+//!
+//! Edges poll one coordinator ([`EdgeRequest::Poll`]); coordinators keep one connection to each other, over
+//! which each sends [`CoreMessage`]s one way.
+
+use bitcode::{Decode, Encode};
+
+use crate::outside::Heartbeat;
+use crate::{Incarnation, NodeId, ServerId};
+
+/// The first frame on a connection: who calls.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Hello {
+    /// A data-plane node, about to poll.
+    Edge(EdgeIdentity),
+    /// A coordinator, about to send [`CoreMessage`]s.
+    Core {
+        /// The machine.
+        node: NodeId,
+        /// This start of its process.
+        incarnation: Incarnation,
+    },
+}
+
+/// A data-plane node as it introduces itself.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct EdgeIdentity {
+    /// The machine.
+    pub node: NodeId,
+    /// This start of its process.
+    pub incarnation: Incarnation,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// Where an edge stands in one coordinator's directory of servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct DirectoryCursor {
+    /// The coordinator's start that numbered the changes; another start numbers anew.
+    pub epoch: Incarnation,
+    /// The newest change seen.
+    pub change: u64,
+}
+
+/// A long poll: answered at once where there is news, otherwise after `hold_ms`.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct PollRequest {
+    /// The configuration in force at the edge; 0 if none.
+    pub config_version: u64,
+    /// What the edge knows of the directory.
+    pub cursor: DirectoryCursor,
+    /// How long the answer may be held, in milliseconds.
+    pub hold_ms: u32,
+    /// Demand seen since the last poll.
+    pub demand: Vec<Demand>,
+    /// What the edge found out about servers since the last poll.
+    pub observed: Vec<Observation>,
+}
+
+/// Requests for one model (and adapter) that an edge took since its last report.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct Demand {
+    /// The service.
+    pub service: String,
+    /// The model; empty for services without models.
+    pub model: String,
+    /// The adapter, if one was asked for.
+    pub adapter: Option<String>,
+    /// Requests that arrived.
+    pub arrived: u32,
+    /// Tokens that they brought and asked for, output counted tenfold.
+    pub tokens: u64,
+    /// The most urgent rank among them (0 first).
+    pub priority: u8,
+    /// Requests that wait at this moment because no server holds what they ask for.
+    pub waiting: u32,
+    /// Requests that were refused or found every holder at its cap.
+    pub crowded: u32,
+    /// Requests open at servers at this moment.
+    pub open: u32,
+}
+
+/// What an edge concluded about a server from its answers.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Observation {
+    /// The server.
+    pub server: ServerId,
+    /// Attempts that ended well since the last report.
+    pub succeeded: u32,
+    /// Attempts that failed by the server's doing.
+    pub failed: u32,
+    /// Attempts that found nobody at its address, or another instance.
+    pub unreachable: u32,
+}
+
+/// What an edge may send after its [`Hello`].
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum EdgeRequest {
+    /// Ask for news.
+    Poll(PollRequest),
+    /// The edge's process is about to end.
+    Leave,
+}
+
+/// Answer to a poll.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct PollReply {
+    /// News of the configuration, if there is any.
+    pub config: Option<ConfigNews>,
+    /// Servers that changed after the request's cursor, or all of them where `whole` is set.
+    pub servers: Vec<ServerRecord>,
+    /// Whether `servers` is the whole directory.
+    pub whole: bool,
+    /// Where the edge now stands.
+    pub cursor: DirectoryCursor,
+    /// The coordinators as this one knows them, itself among them.
+    pub coordinators: Vec<NodeId>,
+    /// Data-plane nodes that the coordinators know to be at work; 0 if unknown.
+    pub edges: u32,
+    /// This coordinator has lost touch with the majority: ask another.
+    pub isolated: bool,
+}
+
+/// A configuration on its way to an edge: whole, or what changed since `base`.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct ConfigNews {
+    /// The version that this builds on; `None` for a whole configuration.
+    pub base: Option<u64>,
+    /// The version that it makes.
+    pub version: u64,
+    /// Items added or replaced.
+    pub upsert: Vec<ConfigItem>,
+    /// Items removed.
+    pub remove: Vec<ItemKey>,
+}
+
+/// Names an item of a configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct ItemKey {
+    /// The list it stands in (`routes`, `services`), or the key of a value that is no list of named items.
+    pub list: String,
+    /// Its `name`; empty for a value that is no list of named items.
+    pub name: String,
+}
+
+/// One item of a configuration, as the operator wrote it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct ConfigItem {
+    /// Its place.
+    pub key: ItemKey,
+    /// Its JSON.
+    pub json: String,
+}
+
+/// How the coordinators see a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode, strum::Display)]
+pub enum Presence {
+    /// Its heartbeats arrive and it takes requests.
+    #[default]
+    Ready,
+    /// It has said that it leaves. Final for this start of the server.
+    Draining,
+    /// Its heartbeats have stopped; they may come back.
+    Silent,
+    /// It has deregistered, or its address has another server. Final.
+    Gone,
+}
+
+/// A server as the coordinators know it.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct ServerRecord {
+    /// This start of the server.
+    pub id: ServerId,
+    /// What it last said; `heartbeat.sequence` orders records of one id.
+    pub heartbeat: Heartbeat,
+    /// How it is seen.
+    pub presence: Presence,
+}
+
+/// What one coordinator sends another.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum CoreMessage {
+    /// Who is there.
+    Membership(MembershipMessage),
+    /// Agreement of one shard; the body is a `shaletrail_consensus::Message` in bitcode.
+    Shard {
+        /// The shard.
+        shard: u32,
+        /// The encoded message.
+        body: Vec<u8>,
+    },
+    /// Servers that changed; to be acknowledged by `DirectoryAck`.
+    Directory {
+        /// Numbered by the sender, from 1 in each of its incarnations.
+        batch: u64,
+        /// What changed.
+        records: Vec<ServerRecord>,
+    },
+    /// All directory batches of the receiver up to this one have been taken over.
+    DirectoryAck {
+        /// The newest batch.
+        batch: u64,
+    },
+    /// A change of the configuration that belongs to the leader of the configuration's shard.
+    Forward {
+        /// Names the call at the sender.
+        call: u64,
+        /// The change.
+        change: OperatorCall,
+    },
+    /// Answer to `Forward`.
+    Forwarded {
+        /// The call.
+        call: u64,
+        /// How it ended.
+        answer: OperatorAnswer,
+    },
+    /// Demand that edges have reported to the sender, for the owners of orders.
+    Demand {
+        /// Milliseconds over which it was gathered.
+        span_ms: u32,
+        /// Edges that are at work at the sender.
+        edges: Vec<NodeId>,
+        /// What they reported.
+        demand: Vec<Demand>,
+        /// What they found out about servers.
+        observed: Vec<Observation>,
+    },
+}
+
+/// Messages of the membership protocol among coordinators.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum MembershipMessage {
+    /// Are you there? Carries what the sender knows.
+    Ping {
+        /// Echoed by the answer.
+        number: u64,
+        /// Members known to the sender.
+        members: Vec<MemberRecord>,
+    },
+    /// I am.
+    Pong {
+        /// Of the ping.
+        number: u64,
+        /// Members known to the sender.
+        members: Vec<MemberRecord>,
+    },
+}
+
+/// A coordinator as another one knows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct MemberRecord {
+    /// The machine.
+    pub node: NodeId,
+    /// This start of its process; 0 while it is known from seeds only.
+    pub incarnation: Incarnation,
+    /// Raised by the member itself to refute a suspicion.
+    pub refutation: u64,
+    /// How it is seen.
+    pub state: MemberState,
+}
+
+/// How a coordinator is seen by the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Encode, Decode, strum::Display)]
+pub enum MemberState {
+    /// Answers.
+    #[default]
+    Alive,
+    /// Has missed answers; may refute.
+    Suspect,
+    /// Taken to be away.
+    Absent,
+}
+
+/// A call of the operator, handed on inside.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum OperatorCall {
+    /// `POST /Config.Replace` or `/Config.Update`.
+    Change {
+        /// Whether the body replaces the whole configuration.
+        whole: bool,
+        /// `Base-Version`.
+        base: u64,
+        /// The body as it came.
+        body: Vec<u8>,
+    },
+    /// `GET /Config.Read`.
+    Read,
+}
+
+/// How a call of the operator ended.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum OperatorAnswer {
+    /// Acknowledged; the body for a read.
+    Done {
+        /// JSON.
+        body: Vec<u8>,
+    },
+    /// Another version is current.
+    Conflict {
+        /// The current version.
+        current: u64,
+    },
+    /// The configuration cannot be taken.
+    Invalid {
+        /// What is wrong, naming item and field.
+        reason: String,
+    },
+    /// No clear answer: ask again, perhaps elsewhere.
+    Unavailable,
+}
