--- /dev/null
+++ b/placement/tests/stories.rs
@@ -0,0 +1,466 @@
+//! Single decisions of the planner, message by message.
+
+use shaletrail_placement::{Catalogue, ModelSpec, Options, Outcome, PlannedOrder, Planner};
+use shaletrail_protocol::inside::{Demand, Presence, ServerRecord};
+use shaletrail_protocol::outside::{Heartbeat, HeldModel, Report};
+use shaletrail_protocol::{Millis, NodeId};
+use shaletrail_ring::{hash_of_name, Key, SlotArray};
+
+const EDGE: NodeId = NodeId(1);
+/// A former holder's orders are over and its allowance is free again.
+const LATE: Millis = 20_000;
+
+fn catalogue(models: usize) -> Catalogue {
+    let model = |index| ModelSpec {
+        name: format!("m{index}"),
+        weights_mb: 70_000.0,
+        load_time_s: 2.0,
+        adapters: 20,
+        adapter_size_mb: 100.0,
+    };
+    Catalogue {
+        models: (0..models).map(model).collect(),
+        weights_mb: 150_000.0,
+        adapter_capacity: 3,
+        load_per_s: 2.0,
+    }
+}
+
+fn address(server: usize) -> String {
+    format!("10.0.0.{server}:80")
+}
+
+fn id(server: usize) -> String {
+    format!("s{server}")
+}
+
+/// What a server lists: `m1` or, with adapters, `m1/a1/a2`.
+fn held(models: &[&str]) -> Vec<HeldModel> {
+    let entry = |text: &&str| {
+        let mut parts = text.split('/').map(str::to_owned);
+        HeldModel { name: parts.next().unwrap_or_default(), version: 1, adapters: parts.collect() }
+    };
+    models.iter().map(entry).collect()
+}
+
+struct Story {
+    planner: Planner,
+    now: Millis,
+    beats: u64,
+}
+
+impl Story {
+    /// A planner that took over long ago, with servers that hold two models each.
+    fn new(models: usize, servers: &[&[&str]]) -> Story {
+        let planner = Planner::new("s".into(), catalogue(models), Options::default(), 0);
+        let mut story = Story { planner, now: LATE, beats: 0 };
+        for (index, models) in servers.iter().enumerate() {
+            story.heartbeat(index, models);
+        }
+        story
+    }
+
+    fn record(&mut self, server: usize, models: &[&str], presence: Presence) -> ServerRecord {
+        self.beats += 1;
+        let heartbeat = Heartbeat {
+            service: "s".into(),
+            address: address(server),
+            slots: 64,
+            models: Some(held(models)),
+            sequence: self.beats,
+            ..Heartbeat::default()
+        };
+        ServerRecord { id: id(server), heartbeat, presence }
+    }
+
+    fn heartbeat(&mut self, server: usize, models: &[&str]) {
+        let record = self.record(server, models, Presence::Ready);
+        self.planner.server(self.now, &record);
+    }
+
+    fn presence(&mut self, server: usize, models: &[&str], presence: Presence) {
+        let record = self.record(server, models, presence);
+        self.planner.server(self.now, &record);
+    }
+
+    fn report(&mut self, server: usize, sequence: u64, busy: bool, models: &[&str]) {
+        let report = Report { models: held(models), utilization: busy, sequence, ..Report::default() };
+        self.planner.report(self.now, &id(server), &report);
+    }
+
+    fn ask(&mut self, asked: &[Demand]) {
+        self.planner.demand(self.now, EDGE, asked);
+    }
+
+    fn outcome(&mut self, server: usize, outcome: Outcome) {
+        self.planner.outcome(self.now, &id(server), outcome);
+    }
+
+    fn after(&mut self, span: Millis) -> Vec<String> {
+        self.now += span;
+        self.orders()
+    }
+
+    /// The next orders, in words.
+    fn orders(&mut self) -> Vec<String> {
+        let words = |order: PlannedOrder| {
+            let adapter = order.adapter.map(|adapter| format!("/{adapter}")).unwrap_or_default();
+            let revision = order.if_revision.map(|revision| format!(" at {revision}")).unwrap_or_default();
+            format!("{} {} {}{adapter}{revision}", order.server, order.operation, order.model)
+        };
+        self.planner.next_orders(self.now).into_iter().map(words).collect()
+    }
+}
+
+fn demand(model: &str) -> Demand {
+    Demand { service: "s".into(), model: model.into(), arrived: 1, tokens: 1_000, ..Demand::default() }
+}
+
+fn waiting(model: &str) -> Demand {
+    Demand { waiting: 1, ..demand(model) }
+}
+
+fn for_adapter(adapter: &str, demand: Demand) -> Demand {
+    Demand { adapter: Some(adapter.into()), ..demand }
+}
+
+/// Names of servers 0 to `count` in the order of a model's sequence.
+fn sequence(model: &str, count: usize) -> Vec<String> {
+    let mut ring = SlotArray::default();
+    let sizes: Vec<_> = (0..count).map(|index| (id(index), hash_of_name(&address(index)), 1.0)).collect();
+    ring.update(&sizes);
+    ring.sequence(Key::of(model)).cloned().collect()
+}
+
+#[test]
+fn given_room_everywhere_when_a_request_waits_for_a_model_then_the_first_of_its_sequence_loads_it() {
+    for model in ["m0", "m1", "m2", "m3"] {
+        let mut story = Story::new(4, &[&[], &[], &[], &[], &[]]);
+        story.ask(&[waiting(model)]);
+        assert_eq!(story.orders(), [format!("{} load {model}", sequence(model, 5)[0])]);
+        assert_eq!(story.after(100), [""; 0]);
+    }
+}
+
+#[test]
+fn given_demand_of_another_service_or_for_what_there_is_not_when_planned_then_nothing_is_ordered() {
+    let mut story = Story::new(2, &[&[], &[]]);
+    let other = Demand { service: "other".into(), ..waiting("m0") };
+    story.ask(&[other, waiting("m9"), for_adapter("a21", waiting("m1")), for_adapter("b", waiting("m1"))]);
+    assert_eq!(story.orders(), [""; 0]);
+}
+
+#[test]
+fn given_a_full_server_when_a_request_waits_then_what_nobody_asks_for_goes_first_and_the_load_follows() {
+    let mut story = Story::new(3, &[&["m0", "m1"]]);
+    story.ask(&[demand("m0")]);
+    story.orders();
+    story.now += 2_000;
+    story.ask(&[waiting("m2")]);
+    assert_eq!(story.orders(), ["s0 evict m1"]);
+    story.outcome(0, Outcome::Accepted);
+    // Until the eviction is seen to be over nothing more is ordered.
+    assert_eq!(story.after(200), [""; 0]);
+    story.heartbeat(0, &["m0"]);
+    assert_eq!(story.after(100), ["s0 load m2"]);
+}
+
+#[test]
+fn given_an_eviction_under_way_when_its_end_is_due_then_a_report_is_asked_and_tells() {
+    let mut story = Story::new(3, &[&["m0", "m1"]]);
+    story.ask(&[waiting("m2")]);
+    assert_eq!(story.orders(), ["s0 evict m0"]);
+    story.now += 20;
+    story.outcome(0, Outcome::Accepted);
+    assert_eq!(story.planner.next_reports(story.now), [""; 0]);
+    story.now += 250;
+    assert_eq!(story.planner.next_reports(story.now), ["s0"]);
+    assert_eq!(story.planner.next_reports(story.now), [""; 0]);
+    story.report(0, 1, true, &["m0", "m1"]);
+    assert_eq!(story.after(100), [""; 0]);
+    story.report(0, 1, false, &["m1"]);
+    story.ask(&[waiting("m2")]);
+    assert_eq!(story.after(100), ["s0 load m2"]);
+}
+
+#[test]
+fn given_models_in_demand_on_full_servers_when_another_waits_then_the_one_idle_the_longest_goes() {
+    let mut story = Story::new(5, &[&["m0", "m1"], &["m2", "m3"]]);
+    for model in ["m2", "m0", "m3", "m1"] {
+        story.ask(&[demand(model)]);
+        story.orders();
+        story.now += 6_000;
+    }
+    story.ask(&[waiting("m4")]);
+    assert_eq!(story.orders(), ["s1 evict m2"]);
+}
+
+#[test]
+fn given_one_server_whose_models_all_have_open_requests_when_another_waits_then_none_of_them_goes() {
+    let mut story = Story::new(3, &[&["m0", "m1"]]);
+    let open = |model| Demand { open: 1, ..demand(model) };
+    story.ask(&[open("m0"), open("m1"), waiting("m2")]);
+    assert_eq!(story.orders(), [""; 0]);
+}
+
+#[test]
+fn given_an_order_without_an_answer_when_time_passes_then_only_a_report_that_is_late_enough_frees_the_server()
+{
+    let mut story = Story::new(4, &[&["m0"]]);
+    story.ask(&[waiting("m1")]);
+    assert_eq!(story.orders(), ["s0 load m1"]);
+    story.now += 1_000;
+    story.outcome(0, Outcome::Unknown);
+    story.ask(&[waiting("m1"), waiting("m2")]);
+    assert_eq!(story.after(100), [""; 0]);
+    // A heartbeat and a report from before the order could have arrived tell nothing.
+    story.heartbeat(0, &["m0"]);
+    story.report(0, 0, false, &["m0"]);
+    assert_eq!(story.after(100), [""; 0]);
+    assert_eq!(story.planner.next_reports(story.now), [""; 0]);
+    story.now += 800;
+    assert_eq!(story.planner.next_reports(story.now), ["s0"]);
+    story.report(0, 5, false, &["m0", "m1"]);
+    story.ask(&[demand("m1"), waiting("m2")]);
+    // It was taken, and the count of orders is known from now on.
+    assert_eq!(story.orders(), ["s0 evict m0 at 5"]);
+}
+
+#[test]
+fn given_an_order_without_an_answer_that_was_not_taken_when_a_report_tells_then_it_is_given_again() {
+    let mut story = Story::new(4, &[&["m0"]]);
+    story.ask(&[waiting("m1")]);
+    assert_eq!(story.orders(), ["s0 load m1"]);
+    story.outcome(0, Outcome::Unknown);
+    story.now += 2_100;
+    story.report(0, 3, false, &["m0"]);
+    story.ask(&[waiting("m1")]);
+    assert_eq!(story.orders(), ["s0 load m1 at 3"]);
+}
+
+#[test]
+fn given_a_server_that_is_busy_with_something_unknown_when_planned_then_it_is_asked_before_the_next_order() {
+    let mut story = Story::new(4, &[&[]]);
+    story.ask(&[waiting("m1")]);
+    assert_eq!(story.orders(), ["s0 load m1"]);
+    story.outcome(0, Outcome::Busy);
+    assert_eq!(story.after(100), [""; 0]);
+    story.now += 500;
+    assert_eq!(story.planner.next_reports(story.now), ["s0"]);
+    story.report(0, 1, true, &[]);
+    story.ask(&[waiting("m1")]);
+    assert_eq!(story.after(100), [""; 0]);
+    story.report(0, 1, false, &["m1"]);
+    assert_eq!(story.after(100), [""; 0]);
+    assert_eq!(story.planner.wanted()[0].models, ["m1"]);
+}
+
+#[test]
+fn given_a_server_that_refuses_the_connection_when_planned_then_another_takes_the_load_at_once() {
+    let mut story = Story::new(2, &[&[], &[]]);
+    let order = sequence("m0", 2);
+    story.ask(&[waiting("m0")]);
+    assert_eq!(story.orders(), [format!("{} load m0", order[0])]);
+    let first = if order[0] == "s0" { 0 } else { 1 };
+    story.outcome(first, Outcome::NotSent);
+    assert_eq!(story.after(100), [format!("{} load m0", order[1])]);
+}
+
+#[test]
+fn given_a_holder_whose_address_has_another_server_when_found_out_then_its_models_come_up_elsewhere() {
+    let mut story = Story::new(3, &[&["m0"], &["m1"]]);
+    story.ask(&[demand("m0"), waiting("m2")]);
+    let ordered = story.orders();
+    let gone = if ordered == ["s0 load m2"] { 0 } else { 1 };
+    story.outcome(gone, Outcome::Gone);
+    story.ask(&[waiting("m0"), demand("m1"), waiting("m2")]);
+    let other = 1 - gone;
+    assert_eq!(story.after(100), [format!("s{other} load {}", if gone == 0 { "m0" } else { "m2" })]);
+    assert!(story.planner.wanted().iter().all(|wanted| wanted.server != id(gone)));
+}
+
+#[test]
+fn given_a_holder_that_drains_or_falls_silent_when_its_model_was_asked_for_then_another_server_loads_it() {
+    for presence in [Presence::Draining, Presence::Silent, Presence::Gone] {
+        let mut story = Story::new(3, &[&["m0"], &[]]);
+        story.ask(&[demand("m0")]);
+        assert_eq!(story.orders(), [""; 0]);
+        story.presence(0, &["m0"], presence);
+        assert_eq!(story.after(100), ["s1 load m0"]);
+    }
+}
+
+#[test]
+fn given_a_holder_that_is_lost_when_nobody_asks_for_its_model_then_nothing_is_loaded() {
+    let mut story = Story::new(3, &[&["m0"], &[]]);
+    story.presence(0, &["m0"], Presence::Silent);
+    assert_eq!(story.after(100), [""; 0]);
+}
+
+#[test]
+fn given_more_tokens_than_one_replica_takes_when_planned_then_more_are_loaded_and_the_number_falls_slowly() {
+    let mut story = Story::new(2, &[&["m0"], &[], &[], &[]]);
+    story.ask(&[Demand { arrived: 15, tokens: 75_000, ..demand("m0") }]);
+    assert_eq!(story.orders().len(), 2);
+    assert_eq!(story.planner.replicas_wanted("m0"), 3);
+    story.ask(&[demand("m0")]);
+    story.after(4_000);
+    assert_eq!(story.planner.replicas_wanted("m0"), 2);
+    story.after(40_000);
+    assert_eq!(story.planner.replicas_wanted("m0"), 0);
+}
+
+#[test]
+fn given_a_crowded_model_when_planned_then_one_more_replica_is_loaded_and_the_next_only_when_that_is_there() {
+    let mut story = Story::new(2, &[&["m0"], &[], &[]]);
+    let crowded = || [Demand { crowded: 3, ..demand("m0") }];
+    story.ask(&crowded());
+    assert_eq!(story.orders().len(), 1);
+    story.ask(&crowded());
+    assert_eq!(story.after(3_000), [""; 0]);
+    assert_eq!(story.planner.replicas_wanted("m0"), 2);
+}
+
+#[test]
+fn given_open_requests_beyond_the_ease_of_a_server_when_planned_then_another_replica_is_loaded() {
+    let mut story = Story::new(2, &[&["m0"], &[]]);
+    story.ask(&[Demand { open: 40, ..demand("m0") }]);
+    assert_eq!(story.orders(), ["s1 load m0"]);
+}
+
+#[test]
+fn given_a_model_that_the_server_held_when_it_is_loaded_again_then_it_does_not_count_at_the_store() {
+    let mut story = Story::new(3, &[&["m0"]]);
+    story.heartbeat(0, &[]);
+    story.ask(&[waiting("m0")]);
+    assert_eq!(story.orders(), ["s0 load m0"]);
+    assert_eq!((story.planner.figures().loads, story.planner.figures().disk_loads), (0, 1));
+}
+
+#[test]
+fn given_a_planner_that_has_just_taken_over_when_a_request_waits_then_it_orders_only_after_a_report_and_in_its_rate(
+) {
+    let mut planner = Planner::new("s".into(), catalogue(3), Options::default(), LATE);
+    planner.set_catalogue(catalogue(3));
+    let mut story = Story { planner, now: LATE, beats: 0 };
+    story.heartbeat(0, &[]);
+    story.ask(&[waiting("m0")]);
+    assert_eq!(story.after(400), [""; 0]);
+    assert_eq!(story.planner.next_reports(story.now), [""; 0]);
+    story.now += 100;
+    assert_eq!(story.planner.next_reports(story.now), ["s0"]);
+    story.report(0, 7, false, &[]);
+    story.ask(&[waiting("m0")]);
+    // The allowance for a first load is there.
+    assert_eq!(story.orders(), ["s0 load m0 at 7"]);
+}
+
+#[test]
+fn given_a_planner_that_has_just_taken_over_when_no_request_waits_then_heartbeats_end_the_doubt_without_reports(
+) {
+    let mut story = Story {
+        planner: Planner::new("s".into(), catalogue(3), Options::default(), LATE),
+        now: LATE,
+        beats: 0,
+    };
+    story.heartbeat(0, &[]);
+    story.now += 8_000;
+    story.heartbeat(0, &[]);
+    assert_eq!(story.planner.next_reports(story.now), [""; 0]);
+    story.ask(&[waiting("m0")]);
+    assert_eq!(story.orders(), ["s0 load m0"]);
+}
+
+#[test]
+fn given_a_heartbeat_that_comes_late_when_taken_in_then_it_changes_nothing() {
+    let mut story = Story::new(3, &[&[]]);
+    let late = story.record(0, &["m0", "m1"], Presence::Ready);
+    story.heartbeat(0, &[]);
+    story.planner.server(story.now, &late);
+    assert!(story.planner.wanted()[0].models.is_empty());
+}
+
+#[test]
+fn given_a_load_that_a_report_confirmed_when_an_older_heartbeat_arrives_then_the_model_still_counts() {
+    let mut story = Story::new(4, &[&["m0"]]);
+    story.ask(&[waiting("m1")]);
+    assert_eq!(story.orders(), ["s0 load m1"]);
+    story.outcome(0, Outcome::Accepted);
+    story.now += 2_300;
+    story.report(0, 1, false, &["m0", "m1"]);
+    story.heartbeat(0, &["m0"]);
+    story.ask(&[demand("m1"), waiting("m2")]);
+    let orders = story.orders();
+    assert!(orders.len() == 1 && orders[0].starts_with("s0 evict m0"), "{orders:?}");
+}
+
+#[test]
+fn given_a_model_that_the_configuration_does_not_name_when_room_is_needed_then_it_goes_first() {
+    let mut story = Story::new(3, &[&["m0", "old"]]);
+    story.ask(&[waiting("m1")]);
+    assert_eq!(story.orders(), ["s0 evict old"]);
+}
+
+#[test]
+fn given_an_adapter_that_nobody_holds_when_it_is_asked_for_then_one_holder_of_its_model_loads_it() {
+    let mut story = Story::new(3, &[&["m0"], &["m1"], &["m0"]]);
+    story.ask(&[for_adapter("a3", waiting("m0"))]);
+    let orders = story.orders();
+    assert!(orders == ["s0 load m0/a3"] || orders == ["s2 load m0/a3"], "{orders:?}");
+    let server = if orders[0].starts_with("s0") { 0 } else { 2 };
+    story.outcome(server, Outcome::Accepted);
+    story.ask(&[for_adapter("a3", demand("m0"))]);
+    assert_eq!(story.after(100), [""; 0]);
+}
+
+#[test]
+fn given_an_adapter_that_is_asked_for_often_when_planned_then_more_holders_of_its_model_load_it() {
+    let mut story = Story::new(3, &[&["m0/a1"], &["m0"], &["m0"]]);
+    for _ in 0..20 {
+        story.ask(&[for_adapter("a1", demand("m0"))]);
+        story.now += 300;
+    }
+    assert_eq!(story.orders().len(), 1);
+}
+
+#[test]
+fn given_all_places_for_adapters_taken_when_another_is_asked_for_then_the_one_idle_the_longest_gives_way() {
+    let mut story = Story::new(3, &[&["m0/a1/a2", "m1/a3"]]);
+    for adapter in ["a2", "a1"] {
+        story.ask(&[for_adapter(adapter, demand("m0"))]);
+        story.now += 2_000;
+    }
+    story.ask(&[for_adapter("a3", demand("m1"))]);
+    story.now += 1_500;
+    story.ask(&[for_adapter("a9", waiting("m0"))]);
+    assert_eq!(story.orders(), ["s0 evict m0/a2"]);
+    story.outcome(0, Outcome::Accepted);
+    story.heartbeat(0, &["m0/a1", "m1/a3"]);
+    assert_eq!(story.after(100), ["s0 load m0/a9"]);
+}
+
+#[test]
+fn given_a_server_whose_room_the_adapters_take_up_when_a_model_is_wanted_then_they_are_counted() {
+    // 140 GB of models and 3 x 100 MB of adapters leave less than a third model takes.
+    let mut roomy = catalogue(3);
+    roomy.weights_mb = 210_200.0;
+    let mut story = Story::new(3, &[&["m0/a1/a2/a3", "m1"]]);
+    story.planner.set_catalogue(roomy.clone());
+    story.ask(&[waiting("m2")]);
+    assert!(story.orders()[0].starts_with("s0 evict"));
+    let mut story = Story::new(3, &[&["m0/a1/a2", "m1"]]);
+    story.planner.set_catalogue(roomy);
+    story.ask(&[waiting("m2")]);
+    assert_eq!(story.orders(), ["s0 load m2"]);
+}
+
+#[test]
+fn given_a_source_that_falls_silent_when_time_passes_then_its_waiting_requests_no_longer_count() {
+    let mut story = Story::new(2, &[]);
+    story.ask(&[waiting("m0")]);
+    story.orders();
+    story.now += 31_000;
+    story.orders();
+    story.heartbeat(0, &[]);
+    assert_eq!(story.orders(), [""; 0]);
+}
--- a/protocol/src/inside.rs
+++ b/protocol/src/inside.rs
@@ -190,16 +190,14 @@
         /// The encoded message.
         body: Vec<u8>,
     },
-    /// Servers that changed; to be acknowledged by `DirectoryAck`.
+    /// Servers that changed or live on; the body is a `shaletrail_cluster::directory::DirectoryMessage` in bitcode.
     Directory {
-        /// Numbered by the sender, from 1 in each of its incarnations.
-        batch: u64,
-        /// What changed.
-        records: Vec<ServerRecord>,
+        /// The encoded message.
+        body: Vec<u8>,
     },
-    /// All directory batches of the receiver up to this one have been taken over.
+    /// A directory batch of the receiver has been taken over.
     DirectoryAck {
-        /// The newest batch.
+        /// The batch.
         batch: u64,
     },
     /// A change of the configuration that belongs to the leader of the configuration's shard.
@@ -223,12 +221,21 @@
         /// Edges that are at work at the sender.
         edges: Vec<NodeId>,
         /// What they reported.
-        demand: Vec<Demand>,
-        /// What they found out about servers.
-        observed: Vec<Observation>,
+        reports: Vec<EdgeReport>,
     },
 }
 
+/// What one edge reported over a span.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct EdgeReport {
+    /// The edge.
+    pub edge: NodeId,
+    /// Demand that it saw.
+    pub demand: Vec<Demand>,
+    /// What it found out about servers.
+    pub observed: Vec<Observation>,
+}
+
 /// Messages of the membership protocol among coordinators.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum MembershipMessage {
--- /dev/null
+++ b/protocol/tests/settings.rs
@@ -0,0 +1,87 @@
+//! The settings of a process: what is read, what is passed over, and how wrong ones are told.
+
+use std::time::Duration;
+
+use shaletrail_protocol::settings::Settings;
+
+const CORE: &str = "\
+nodeName=core-a-1
+ip=10.1.0.38
+zone=hall-a
+region=north
+zones.hall-a=north
+zones.hall-b=north
+listenersMap.controlPlane=10.1.0.38:8146
+ephemeralPorts=7660,7675
+seedNodes=10.1.0.38:8146,10.2.0.30:8146
+bootstrap=true
+countsForQuorum=true
+limits.memoryMb=256
+dataDir=/data/core
+heartbeatMs=1200
+faultTolerance.hostsLost=2
+bounds.drainMs=2500
+bounds.retryRatio=0.2
+bounds.fencing=false
+bounds.somethingNew=7
+";
+
+fn error_of(text: &str) -> String {
+    text.parse::<Settings>().map(|_| "no error".to_owned()).unwrap_or_else(|error| error.to_string())
+}
+
+#[test]
+fn given_a_proper_file_when_it_is_read_then_values_have_units_and_unknown_keys_are_passed_over() {
+    let settings: Settings = CORE.parse().expect("a proper file");
+
+    assert_eq!(settings.node().to_string(), "10.1.0.38");
+    assert_eq!(settings.heartbeat, Duration::from_millis(1200));
+    assert_eq!(settings.bounds.drain, Duration::from_millis(2500));
+    assert_eq!(settings.bounds.retry_ratio, 0.2);
+    assert_eq!(settings.hosts_lost, 2);
+    assert_eq!(settings.internal_port(), 7660);
+    assert_eq!(settings.zones.len(), 2);
+    assert!(settings.bootstrap && settings.counts_for_quorum && !settings.bounds.fencing);
+}
+
+#[test]
+fn given_seeds_that_name_this_machine_when_others_are_asked_for_then_it_is_left_out() {
+    let settings: Settings = CORE.parse().expect("a proper file");
+
+    let others: Vec<String> = settings.seed_nodes().iter().map(|node| node.to_string()).collect();
+
+    assert_eq!(others, ["10.2.0.30"]);
+}
+
+#[test]
+fn given_a_missing_key_when_the_file_is_read_then_the_error_names_it_and_what_was_expected() {
+    insta::assert_snapshot!(error_of(&CORE.replace("ip=10.1.0.38\n", "")), @"ip: missing, expected an IPv4 address");
+    insta::assert_snapshot!(
+        error_of(&CORE.replace("ephemeralPorts=7660,7675\n", "")),
+        @"ephemeralPorts: missing, expected the first and the last port, with a comma between them"
+    );
+}
+
+#[test]
+fn given_a_wrong_value_when_the_file_is_read_then_the_error_names_key_value_and_what_was_expected() {
+    insta::assert_snapshot!(
+        error_of(&CORE.replace("heartbeatMs=1200", "heartbeatMs=often")),
+        @"heartbeatMs: 'often' found, expected a number over 0"
+    );
+    insta::assert_snapshot!(
+        error_of(&CORE.replace("bounds.drainMs=2500", "bounds.drainMs=-1")),
+        @"bounds.drainMs: '-1' found, expected a number over 0"
+    );
+    insta::assert_snapshot!(
+        error_of(&CORE.replace("10.2.0.30:8146", "10.2.0.30")),
+        @"seedNodes: '10.2.0.30' found, expected addresses, IP:PORT, with commas between them"
+    );
+    insta::assert_snapshot!(
+        error_of(&CORE.replace("bootstrap=true", "bootstrap=perhaps")),
+        @"bootstrap: 'perhaps' found, expected true or false"
+    );
+    insta::assert_snapshot!(
+        error_of(&CORE.replace("7660,7675", "7675,7660")),
+        @"ephemeralPorts: '7675,7660' found, expected the first and the last port, with a comma between them"
+    );
+}
--- a/registry/src/replica.rs
+++ b/registry/src/replica.rs
@@ -568,7 +568,7 @@
         if due.held > 0 && held == 0 {
             tracing::error!(
                 "EXPIRY STOPPED: {} entries are silent, {} of them due, more than the {} that may go within one \
-                 lease. Are agents cut off? `shaletrail registry confirm` lets them go",
+                 lease. Are agents cut off? `shaletrail-fleet registry confirm` lets them go",
                 due.silent,
                 due.held,
                 due.most
--- /dev/null
+++ b/routing/src/choice.rs
@@ -0,0 +1,188 @@
+//! The server of a request.
+//!
+//! A key goes to the owner of its home slot h(key, 0) if that server can serve it and is below the cap
+//! C = ⌈(1 + ε)·n/k⌉, where n counts the requests that this edge has open at the service, the new one included,
+//! and k the ready servers that can serve the key. Overflow follows h(key, 1), h(key, 2) and so on. Where all are
+//! at the cap, the one with the fewest requests for its slots takes it, unless all are known to be full.
+
+use shaletrail_protocol::Millis;
+use shaletrail_ring::Key;
+
+use crate::fleet::Fleet;
+use crate::interface::NewRequest;
+use crate::report::Wanted;
+use crate::servers::{Room, Server, ServerHandle, Servers, Standing};
+use crate::Options;
+
+/// What a request looks for.
+pub(crate) struct Ask<'a> {
+    /// Its key.
+    pub key: Key,
+    /// What the server must hold.
+    pub wanted: &'a Wanted,
+    /// Servers that it has been sent to.
+    pub tried: &'a [ServerHandle],
+    /// Connections to one server that this edge may hold.
+    pub connections: u32,
+}
+
+/// A server was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Chosen {
+    /// The server.
+    pub server: ServerHandle,
+    /// Whether every server was at the cap.
+    pub crowded: bool,
+}
+
+/// Why there is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unavailable {
+    /// The service has no server that takes requests.
+    NoServer,
+    /// None that may be asked holds what is wanted.
+    NoHolder {
+        /// When one may be asked, with no event but the passing of time.
+        again_at: Option<Millis>,
+    },
+    /// All that could serve it are known to be full.
+    Full {
+        /// When one may no longer be.
+        again_at: Option<Millis>,
+    },
+}
+
+/// The key that a request is placed by: the model, with its adapter, or the path where there is no model.
+pub(crate) fn request_key(request: &NewRequest, wanted: &Wanted) -> Key {
+    match &wanted.adapter {
+        _ if wanted.model.is_empty() => Key(request.path_hash),
+        None => Key::of(&wanted.model),
+        Some(adapter) => Key::of_parts(&[&wanted.model, adapter]),
+    }
+}
+
+/// C = ⌈(1 + ε)·n/k⌉, and never below the floor.
+pub(crate) fn cap(open_with_new: u32, able: u32, options: &Options) -> u32 {
+    let even = (1.0 + options.epsilon) * f64::from(open_with_new) / f64::from(able.max(1));
+    (even.ceil() as u32).max(options.cap_floor)
+}
+
+/// Chooses among the servers of a service.
+pub(crate) fn choose(
+    fleet: &Fleet,
+    servers: &Servers,
+    ask: &Ask<'_>,
+    now: Millis,
+    options: &Options,
+) -> Result<Chosen, Unavailable> {
+    let valid = fleet.usual_ms().clamp(options.load_min_ms, options.load_max_ms.max(options.load_min_ms));
+    let choice = Choice { fleet, servers, ask, now, valid, options, out: Vec::new() };
+    choice.with_evidence().choose()
+}
+
+struct Choice<'a> {
+    fleet: &'a Fleet,
+    servers: &'a Servers,
+    ask: &'a Ask<'a>,
+    now: Millis,
+    /// How long what an answer told of a server's load counts, in milliseconds.
+    valid: Millis,
+    options: &'a Options,
+    /// Servers that are skipped by evidence.
+    out: Vec<ServerHandle>,
+}
+
+impl Choice<'_> {
+    /// At most half of the service's ready servers are skipped by evidence: those that failed most often.
+    fn with_evidence(mut self) -> Self {
+        let ready = self.members().filter(|(_, server)| server.standing() == Standing::Ready);
+        let (mut count, mut suspects) = (0, Vec::new());
+        for (handle, server) in ready {
+            count += 1;
+            if !server.health.admits(self.now) {
+                suspects.push((std::cmp::Reverse(server.health.failures()), handle));
+            }
+        }
+        suspects.sort_unstable();
+        suspects.truncate(count / 2);
+        self.out = suspects.into_iter().map(|(_, handle)| handle).collect();
+        self
+    }
+
+    fn members(&self) -> impl Iterator<Item = (ServerHandle, &Server)> {
+        let known = |handle: &ServerHandle| Some((*handle, self.servers.get(*handle)?));
+        self.fleet.members.iter().filter_map(known)
+    }
+
+    fn choose(&self) -> Result<Chosen, Unavailable> {
+        if !self.members().any(|(_, server)| server.standing() != Standing::Leaving) {
+            return Err(Unavailable::NoServer);
+        }
+        let ready = self.able(Standing::Ready);
+        let chosen = self.first_below_cap(&ready).or_else(|| self.least_loaded(&ready));
+        // A silent server only where no other can serve the key at all.
+        let silent = if ready.is_empty() { self.able(Standing::Silent) } else { Vec::new() };
+        chosen.or_else(|| self.least_loaded(&silent)).ok_or_else(|| self.unavailable(&ready))
+    }
+
+    /// Servers that can serve the key, by their standing.
+    fn able(&self, standing: Standing) -> Vec<(ServerHandle, &Server)> {
+        let able = |(handle, server): &(ServerHandle, &Server)| {
+            server.standing() == standing
+                && server.holds(self.ask.wanted, self.now)
+                && !self.ask.tried.contains(handle)
+                && !self.out.contains(handle)
+                && (standing == Standing::Ready || server.health.admits(self.now))
+        };
+        self.members().filter(able).collect()
+    }
+
+    /// The first in the key's sequence that is below the cap and not known to be full.
+    fn first_below_cap(&self, able: &[(ServerHandle, &Server)]) -> Option<Chosen> {
+        let cap = cap(self.fleet.open + 1, able.len() as u32, self.options);
+        let takes = |server: &Server| server.open < cap && self.room(server) == Room::Slots;
+        let mut takers = able.iter().filter(|(_, server)| takes(server)).map(|(handle, _)| *handle);
+        let first = takers.next()?;
+        let mut others = takers.peekable();
+        if others.peek().is_none() {
+            return Some(Chosen { server: first, crowded: false });
+        }
+        let takers: Vec<ServerHandle> = std::iter::once(first).chain(others).collect();
+        let server = self.fleet.array.sequence(self.ask.key).find(|owner| takers.contains(owner))?;
+        Some(Chosen { server: *server, crowded: false })
+    }
+
+    /// The one with the fewest requests for its slots, of those with a free slot or else a place to wait.
+    fn least_loaded(&self, able: &[(ServerHandle, &Server)]) -> Option<Chosen> {
+        let load = |server: &Server| f64::from(server.occupied(self.since())) / f64::from(server.slots());
+        let open = able.iter().map(|(handle, server)| (self.room(server), load(server), *handle));
+        let open = open.filter(|(room, _, _)| *room != Room::Full);
+        let least = open.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
+        least.map(|(_, _, server)| Chosen { server, crowded: true })
+    }
+
+    fn room(&self, server: &Server) -> Room {
+        if server.open >= self.ask.connections {
+            return Room::Full;
+        }
+        server.room(self.now, self.since(), self.options)
+    }
+
+    /// What an answer told before this no longer counts.
+    fn since(&self) -> Millis {
+        (self.now + 1).saturating_sub(self.valid)
+    }
+
+    fn unavailable(&self, ready: &[(ServerHandle, &Server)]) -> Unavailable {
+        if !ready.is_empty() {
+            let until = |(_, server): &(ServerHandle, &Server)| server.full_until(self.now, self.valid);
+            return Unavailable::Full { again_at: ready.iter().filter_map(until).min() };
+        }
+        let usable = self.members().filter(|(_, server)| server.standing() != Standing::Leaving);
+        let until = |(_, server): (ServerHandle, &Server)| {
+            let again_at = server.health.again_at().filter(|at| *at > self.now);
+            again_at.into_iter().chain(server.lacks_until(self.ask.wanted, self.now)).min()
+        };
+        Unavailable::NoHolder { again_at: usable.filter_map(until).min() }
+    }
+}
--- /dev/null
+++ b/routing/src/requests.rs
@@ -0,0 +1,143 @@
+//! A request at this edge and its phases.
+
+use std::sync::Arc;
+
+use shaletrail_protocol::Millis;
+use shaletrail_ring::Key;
+
+use crate::interface::{Attempt, NewRequest, RefusalReason, RequestId, Verdict};
+use crate::report::Wanted;
+use crate::servers::ServerHandle;
+use crate::Options;
+
+/// A request that has no final answer yet.
+#[derive(Debug)]
+pub(crate) struct Request {
+    /// As it came.
+    pub new: NewRequest,
+    /// What a server must hold.
+    pub wanted: Arc<Wanted>,
+    /// Where it is at home.
+    pub key: Key,
+    /// When it came.
+    pub arrived_at: Millis,
+    /// When it must have been answered.
+    pub deadline_at: Millis,
+    /// The worst verdict of the attempts that have ended.
+    pub verdict: Verdict,
+    /// Sendings, those that found nobody among them.
+    pub sendings: u32,
+    /// Sendings that arrived, or may have; the one under way counts.
+    pub arrivals: u32,
+    /// Servers that it was sent to.
+    pub tried: Vec<ServerHandle>,
+    /// The client has the head of a server's answer.
+    pub head_passed: bool,
+    /// The last event of a stream that the client has whole.
+    pub last_event: Option<u64>,
+    /// What a server that turned it away said about coming back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Request {
+    pub fn new(new: NewRequest, wanted: Arc<Wanted>, key: Key, now: Millis) -> Self {
+        let time = new.deadline_ms.min(new.route.timeout_ms);
+        Request {
+            new,
+            wanted,
+            key,
+            arrived_at: now,
+            deadline_at: now.saturating_add(time),
+            verdict: Verdict::NeverSent,
+            sendings: 0,
+            arrivals: 0,
+            tried: Vec::new(),
+            head_passed: false,
+            last_event: None,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Its name.
+    pub fn id(&self) -> RequestId {
+        self.new.id
+    }
+
+    /// Whether it surely has not run, with no attempt out.
+    pub fn surely_not_run(&self) -> bool {
+        self.verdict <= Verdict::SurelyNotRun
+    }
+
+    /// Whether a verdict of the attempts that have ended allows another.
+    pub fn may_run_again(&self) -> bool {
+        self.surely_not_run() || self.new.route.kind.may_repeat()
+    }
+
+    /// What it is to be told if it gets no other attempt.
+    pub fn reason_to_end(&self) -> RefusalReason {
+        if self.surely_not_run() {
+            RefusalReason::TurnedAway
+        } else {
+            RefusalReason::MayHaveRun
+        }
+    }
+
+    /// Until when it may be held for a model to come up.
+    pub fn model_until(&self, options: &Options) -> Millis {
+        let time = self.deadline_at - self.arrived_at;
+        self.arrived_at + (time as f64 * options.hold_share) as Millis
+    }
+
+    /// Until when it may be held while every server is full.
+    pub fn full_until(&self, options: &Options) -> Millis {
+        let aim = self.new.route.target_latency_ms as f64;
+        (self.arrived_at + (aim * options.full_hold_share) as Millis).min(self.deadline_at)
+    }
+}
+
+/// Where a request stands between two events.
+#[derive(Debug)]
+pub(crate) enum Phase {
+    /// It waits for a server.
+    Held(Held),
+    /// An attempt is under way.
+    Out(Out),
+}
+
+impl Phase {
+    /// When time changes something.
+    pub fn next_at(&self) -> Millis {
+        match self {
+            Phase::Held(held) => held.until,
+            Phase::Out(out) => out.silent_at.map_or(out.until, |silent_at| silent_at.min(out.until)),
+        }
+    }
+}
+
+/// A request that waits for a server.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Held {
+    /// When it is given up.
+    pub until: Millis,
+    /// Why there was no server when it was last looked for.
+    pub reason: RefusalReason,
+}
+
+/// An attempt under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Out {
+    /// Its number.
+    pub attempt: Attempt,
+    /// The server.
+    pub server: ServerHandle,
+    /// When it was sent.
+    pub sent_at: Millis,
+    /// When it is given up.
+    pub until: Millis,
+    /// When its silence is looked at, where it may be taken elsewhere.
+    pub silent_at: Option<Millis>,
+    /// Whether it took a repeat of the budget.
+    pub repeat: bool,
+    /// Whether the router called it off in order to go elsewhere.
+    pub called_off: bool,
+}
--- /dev/null
+++ b/routing/tests/common/mod.rs
@@ -0,0 +1,269 @@
+//! An edge's router with a clock of its own, and shorthands for what it is told.
+#![allow(dead_code)]
+
+use std::sync::Arc;
+
+use shaletrail_configuration::{Route, RouteKind, View};
+use shaletrail_protocol::inside::{ConfigItem, ConfigNews, ItemKey, Presence, ServerRecord};
+use shaletrail_protocol::outside::{Heartbeat, HeldModel, ServerState};
+use shaletrail_protocol::Millis;
+use shaletrail_ring::{hash_of_name, Key, SlotArray};
+use shaletrail_routing::interface::{
+    Action, Attempt, Ending, Event, NewRequest, Outcome, Refusal, RefusalReason, RequestId, ServerLoad,
+    Verdict,
+};
+use shaletrail_routing::{Options, Router};
+
+/// The service with models.
+pub const LLM: &str = "llm";
+/// The service without models.
+pub const WEB: &str = "web";
+
+/// A router and its clock.
+pub struct Edge {
+    pub router: Router,
+    pub now: Millis,
+    next_request: u64,
+}
+
+/// A sending, as the driver was told of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sent {
+    pub request: RequestId,
+    pub attempt: Attempt,
+    pub server: String,
+    pub deadline_ms: u64,
+    pub priority: u8,
+    pub resume_after: Option<u64>,
+}
+
+impl Edge {
+    /// An edge that knows the configuration and no server.
+    pub fn new(options: Options) -> Self {
+        let mut edge = Edge { router: Router::new(options, 7), now: 1000, next_request: 0 };
+        edge.handle(Event::View(view(1)));
+        edge
+    }
+
+    /// An edge that knows `count` servers of a service, each holding models.
+    pub fn with_servers(service: &str, count: u32, models: &[&str]) -> Self {
+        let mut edge = Edge::new(options());
+        edge.servers((0..count).map(|number| server(service, number, models)).collect());
+        edge
+    }
+
+    pub fn handle(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.router.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    pub fn servers(&mut self, records: Vec<ServerRecord>) -> Vec<Action> {
+        self.handle(Event::Servers { records, whole: false })
+    }
+
+    /// A request by a route for a model.
+    pub fn ask(&mut self, route: &Route, model: &str) -> (RequestId, Vec<Action>) {
+        let request = self.new_request(route, model);
+        (request.id, self.handle(Event::Request(request)))
+    }
+
+    /// A request that is sent at once.
+    pub fn ask_sent(&mut self, route: &Route, model: &str) -> Sent {
+        let (_, actions) = self.ask(route, model);
+        sent(&actions).unwrap_or_else(|| panic!("not sent: {actions:?}"))
+    }
+
+    pub fn new_request(&mut self, route: &Route, model: &str) -> NewRequest {
+        self.next_request += 1;
+        let mut names = model.splitn(2, '/').map(str::to_owned);
+        NewRequest {
+            id: RequestId(self.next_request),
+            route: Arc::new(route.clone()),
+            model: names.next().filter(|name| !name.is_empty()),
+            adapter: names.next(),
+            tokens: Some((100, 10)),
+            prompt: Vec::new(),
+            deadline_ms: route.timeout_ms,
+            last_event: None,
+            body_bytes: Some(0),
+            path_hash: 77,
+        }
+    }
+
+    pub fn end(&mut self, sent: &Sent, outcome: Outcome) -> Vec<Action> {
+        self.handle(Event::Ended(sent.request, sent.attempt, outcome))
+    }
+
+    pub fn serve(&mut self, sent: &Sent) -> Vec<Action> {
+        self.handle(Event::Head(sent.request, sent.attempt, None));
+        self.handle(Event::First(sent.request, sent.attempt));
+        let mut actions = self.end(sent, outcome(Verdict::HasRun, Ending::Served));
+        actions.extend(self.handle(Event::Finished(sent.request)));
+        actions
+    }
+
+    /// Lets time pass, with a tick whenever the router wants one.
+    pub fn pass(&mut self, until: Millis) -> Vec<(Millis, Action)> {
+        let mut actions = Vec::new();
+        while let Some(wake) = self.router.next_wake().filter(|wake| *wake <= until) {
+            self.now = self.now.max(wake);
+            let at = self.now;
+            actions.extend(self.handle(Event::Tick).into_iter().map(|action| (at, action)));
+            assert!(self.router.next_wake().is_none_or(|next| next > wake), "woken again at once");
+        }
+        self.now = until;
+        actions
+    }
+}
+
+/// The usual options, with more repeats than most tests need.
+pub fn options() -> Options {
+    Options { retry_ratio: 0.2, retry_slack: 1000.0, ..Options::default() }
+}
+
+pub fn sent(actions: &[Action]) -> Option<Sent> {
+    all_sent(actions).into_iter().next()
+}
+
+pub fn all_sent(actions: &[Action]) -> Vec<Sent> {
+    let sent = |action: &Action| match action.clone() {
+        Action::Send { request, attempt, server, deadline_ms, priority, resume_after, .. } => {
+            Some(Sent { request, attempt, server, deadline_ms, priority, resume_after })
+        }
+        _ => None,
+    };
+    actions.iter().filter_map(sent).collect()
+}
+
+pub fn refusal(actions: &[Action]) -> Option<Refusal> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { refusal, .. } => Some(*refusal),
+        _ => None,
+    })
+}
+
+/// Asserts that a request was refused with a status and for a reason.
+pub fn assert_refused(actions: &[Action], status: u16, reason: RefusalReason) {
+    let refusal = refusal(actions).unwrap_or_else(|| panic!("not refused: {actions:?}"));
+    assert_eq!((refusal.status, refusal.reason), (status, reason));
+    assert_eq!(refusal.retry_after_ms.is_some(), status == 503, "{refusal:?}");
+}
+
+pub fn outcome(verdict: Verdict, ending: Ending) -> Outcome {
+    Outcome { verdict, ending, load: None, retry_after_ms: None }
+}
+
+pub fn turned_away(status: u16) -> Outcome {
+    outcome(Verdict::SurelyNotRun, Ending::TurnedAway { status, instance: None })
+}
+
+pub fn unreachable() -> Outcome {
+    outcome(Verdict::NeverSent, Ending::Unreachable)
+}
+
+pub fn lost() -> Outcome {
+    outcome(Verdict::MayHaveRun, Ending::Lost)
+}
+
+pub fn failed(status: u16) -> Outcome {
+    outcome(Verdict::HasRun, Ending::Failed { status })
+}
+
+pub fn broken(last_event: Option<u64>) -> Outcome {
+    outcome(Verdict::HasRun, Ending::Broken { last_event, at_fault: false })
+}
+
+pub fn load(running: u32, waiting: u32, slots: u32) -> ServerLoad {
+    ServerLoad { running, waiting, slots }
+}
+
+/// Servers are named by their number, and so are their addresses.
+pub fn server(service: &str, number: u32, models: &[&str]) -> ServerRecord {
+    let held = |name: &&str| {
+        let mut parts = name.split('/').map(str::to_owned);
+        let name = parts.next().unwrap_or_default();
+        HeldModel { name, version: 1, adapters: parts.collect() }
+    };
+    let heartbeat = Heartbeat {
+        service: service.to_owned(),
+        address: address(number),
+        slots: 64,
+        state: ServerState::Ready,
+        models: (service == LLM).then(|| models.iter().map(held).collect()),
+        sequence: 1,
+        ..Heartbeat::default()
+    };
+    ServerRecord { id: name(number), heartbeat, presence: Presence::Ready }
+}
+
+pub fn name(number: u32) -> String {
+    format!("i-{number}")
+}
+
+pub fn address(number: u32) -> String {
+    format!("10.0.1.{number}:8080")
+}
+
+pub fn with_presence(mut record: ServerRecord, presence: Presence) -> ServerRecord {
+    record.heartbeat.sequence += 1;
+    record.presence = presence;
+    record
+}
+
+/// A route to one service, whose requests may run once.
+pub fn route(service: &str) -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/p/".into(),
+        kind: RouteKind::NonIdempotent,
+        timeout_ms: 4000,
+        target_latency_ms: 800,
+        priority: 1,
+        targets: vec![(service.to_owned(), 1.0)],
+        max_attempts: 3,
+        affinity: true,
+    }
+}
+
+pub fn idempotent(service: &str) -> Route {
+    Route { kind: RouteKind::Idempotent, ..route(service) }
+}
+
+pub fn stream(service: &str, resumable: bool) -> Route {
+    Route { kind: RouteKind::Streaming { resumable, gap_aim_ms: 400 }, ..route(service) }
+}
+
+/// Server numbers in the order of a key's sequence.
+pub fn sequence(key: Key, count: u32) -> Vec<String> {
+    let mut array = SlotArray::default();
+    let sizes: Vec<_> = (0..count).map(|number| (number, hash_of_name(&address(number)), 1.0)).collect();
+    array.update(&sizes);
+    array.sequence(key).map(|number| name(*number)).collect()
+}
+
+/// A configuration with both services; models `m0` to `m39`, each with three adapters.
+pub fn view(version: u64) -> Arc<View> {
+    let models: Vec<String> = (0..40)
+        .map(|number| {
+            format!(r#"{{"name":"m{number}","weightsMb":1000.0,"loadTimeS":0.6,"adapters":3,"adapterSizeMb":10.0}}"#)
+        })
+        .collect();
+    let llm = format!(
+        r#"{{"name":"llm","healthPath":"/healthz","maxConnections":360,"protocol":"h1","tls":false,
+        "runtime":{{"slots":64,"kvCapacity":200000,"stride":5,"models":[{}],
+        "weightsMb":4000.0,"adapterCapacity":8,"loadPerS":2.8}}}}"#,
+        models.join(",")
+    );
+    let web = r#"{"name":"web","healthPath":"/healthz","maxConnections":96,"protocol":"h1","tls":false}"#;
+    let item = |name: &str, json: &str| ConfigItem {
+        key: ItemKey { list: "services".into(), name: name.into() },
+        json: json.to_owned(),
+    };
+    let news =
+        ConfigNews { base: None, version, upsert: vec![item(LLM, &llm), item(WEB, web)], remove: vec![] };
+    let mut view = View::default();
+    view.apply(&news).expect("the view is taken");
+    Arc::new(view)
+}
--- /dev/null
+++ b/routing/tests/repeats.rs
@@ -0,0 +1,235 @@
+//! Repeats, their budget, and final answers.
+
+mod common;
+
+use common::*;
+use shaletrail_configuration::Route;
+use shaletrail_routing::interface::{Action, Ending, Event, Outcome, RefusalReason, Verdict};
+use shaletrail_routing::Options;
+
+#[test]
+fn given_nobody_at_the_server_when_an_attempt_ends_then_it_goes_elsewhere_and_is_no_arrival() {
+    let mut edge = Edge::with_servers(LLM, 6, &["m1"]);
+    let once = Route { max_attempts: 1, ..route(LLM) };
+    let first = edge.ask_sent(&once, "m1");
+    let second = sent(&edge.end(&first, unreachable())).expect("sent elsewhere");
+    let third = sent(&edge.end(&second, unreachable())).expect("sent elsewhere");
+    assert!(first.server != second.server && second.server != third.server && first.server != third.server);
+    assert_eq!(edge.router.counters().repeats, 0);
+}
+
+#[test]
+fn given_a_server_that_turned_it_away_when_attempts_are_left_then_another_server_gets_it() {
+    let mut edge = Edge::with_servers(LLM, 6, &["m1"]);
+    let first = edge.ask_sent(&route(LLM), "m1");
+    let second = sent(&edge.end(&first, turned_away(503))).expect("sent elsewhere");
+    assert_ne!(first.server, second.server);
+    assert_eq!(second.attempt.0, 1);
+}
+
+#[test]
+fn given_one_attempt_only_when_a_server_turned_it_away_then_it_is_refused_at_once_with_a_promise() {
+    let mut edge = Edge::with_servers(LLM, 6, &["m1"]);
+    let sent = edge.ask_sent(&Route { max_attempts: 1, ..route(LLM) }, "m1");
+    let outcome = Outcome { retry_after_ms: Some(400), ..turned_away(503) };
+    let actions = edge.end(&sent, outcome);
+    assert_refused(&actions, 503, RefusalReason::TurnedAway);
+    let retry_after = refusal(&actions).and_then(|refusal| refusal.retry_after_ms).expect("told when");
+    assert!((400..=500).contains(&retry_after), "{retry_after}");
+}
+
+#[test]
+fn given_servers_that_turn_it_away_when_attempts_are_used_up_then_no_more_servers_see_it() {
+    let mut edge = Edge::with_servers(LLM, 6, &["m1"]);
+    let first = edge.ask_sent(&route(LLM), "m1");
+    let second = sent(&edge.end(&first, turned_away(503))).expect("second");
+    let third = sent(&edge.end(&second, turned_away(421))).expect("third");
+    assert_refused(&edge.end(&third, turned_away(503)), 503, RefusalReason::TurnedAway);
+}
+
+#[test]
+fn given_a_request_that_may_run_once_when_it_may_have_run_then_it_is_never_sent_again() {
+    let endings = [Ending::Lost, Ending::Garbled, Ending::Stale];
+    for ending in endings {
+        for kind in [route(LLM), stream(LLM, false)] {
+            let mut edge = Edge::with_servers(LLM, 6, &["m1"]);
+            let sent = edge.ask_sent(&kind, "m1");
+            let actions = edge.end(&sent, outcome(Verdict::MayHaveRun, ending.clone()));
+            assert_refused(&actions, 502, RefusalReason::MayHaveRun);
+        }
+    }
+}
+
+#[test]
+fn given_a_request_turned_away_first_when_it_then_may_have_run_then_there_is_no_promise() {
+    let mut edge = Edge::with_servers(LLM, 6, &["m1"]);
+    let first = edge.ask_sent(&route(LLM), "m1");
+    let second = sent(&edge.end(&first, turned_away(503))).expect("second");
+    assert_refused(&edge.end(&second, lost()), 502, RefusalReason::MayHaveRun);
+}
+
+#[test]
+fn given_an_idempotent_request_when_it_may_have_run_then_another_server_gets_it() {
+    for kind in [idempotent(LLM), stream(LLM, true)] {
+        let mut edge = Edge::with_servers(LLM, 6, &["m1"]);
+        let first = edge.ask_sent(&kind, "m1");
+        let second = sent(&edge.end(&first, lost())).expect("sent elsewhere");
+        assert_ne!(first.server, second.server);
+        let third = sent(&edge.end(&second, turned_away(503))).expect("sent elsewhere");
+        // It may have run at the first: no promise at the end.
+        assert_refused(&edge.end(&third, turned_away(503)), 502, RefusalReason::MayHaveRun);
+    }
+}
+
+#[test]
+fn given_a_failed_answer_when_the_request_may_run_again_then_another_server_is_asked_else_it_is_passed_on() {
+    let mut edge = Edge::with_servers(LLM, 6, &["m1"]);
+    let first = edge.ask_sent(&idempotent(LLM), "m1");
+    let second = sent(&edge.end(&first, failed(500))).expect("sent elsewhere");
+    let third = sent(&edge.end(&second, failed(500))).expect("sent elsewhere");
+    assert_eq!(edge.end(&third, failed(500)), vec![Action::PassOn(third.request)]);
+
+    let once = edge.ask_sent(&route(LLM), "m1");
+    assert_eq!(edge.end(&once, failed(500)), vec![Action::PassOn(once.request)]);
+    let wrong = edge.ask_sent(&idempotent(LLM), "m1");
+    assert_eq!(edge.end(&wrong, failed(404)), vec![Action::PassOn(wrong.request)]);
+}
+
+#[test]
+fn given_a_failed_answer_when_no_other_server_holds_the_model_then_it_is_passed_on_at_once() {
+    let mut edge = Edge::with_servers(LLM, 1, &["m1"]);
+    let sent = edge.ask_sent(&idempotent(LLM), "m1");
+    assert_eq!(edge.end(&sent, failed(500)), vec![Action::PassOn(sent.request)]);
+}
+
+#[test]
+fn given_a_stale_connection_when_nothing_was_written_then_the_same_server_is_asked_anew() {
+    let mut edge = Edge::with_servers(LLM, 1, &["m1"]);
+    let first = edge.ask_sent(&route(LLM), "m1");
+    let second = sent(&edge.end(&first, outcome(Verdict::NeverSent, Ending::Stale))).expect("sent again");
+    assert_eq!(first.server, second.server);
+}
+
+#[test]
+fn given_the_edges_part_of_the_budget_when_it_is_used_up_then_no_more_repeats_are_sent() {
+    // A ratio of 0.2 and a slack of 50 over 10 edges, of which 0.8 is used.
+    let options = Options { retry_ratio: 0.2, retry_slack: 50.0, ..Options::default() };
+    let mut edge = Edge::new(options);
+    edge.servers((0..6).map(|n| server(LLM, n, &["m1"])).collect());
+    edge.handle(Event::Edges(10));
+    for _ in 0..100 {
+        let sent = edge.ask_sent(&route(LLM), "m1");
+        edge.serve(&sent);
+    }
+    edge.now += 500;
+    let mut repeats = 0;
+    for _ in 0..100 {
+        let first = edge.ask_sent(&idempotent(LLM), "m1");
+        match sent(&edge.end(&first, lost())) {
+            Some(second) => {
+                repeats += 1;
+                edge.serve(&second);
+            }
+            None => assert_eq!(edge.router.counters().refused_for(RefusalReason::MayHaveRun), 1),
+        }
+        if edge.router.counters().refused() > 0 {
+            break;
+        }
+    }
+    // (0.2 * requests + 50 / 10) * 0.8 with the requests there were by then.
+    assert_eq!(repeats, 23);
+    assert_eq!(edge.router.counters().repeats, 23);
+
+    // The window has passed: there are repeats again, by the slack alone.
+    edge.now += 10_400;
+    edge.servers((0..6).map(|n| server(LLM, 10 + n, &["m1"])).collect());
+    let first = edge.ask_sent(&idempotent(LLM), "m1");
+    assert!(sent(&edge.end(&first, lost())).is_some());
+}
+
+#[test]
+fn given_an_unknown_number_of_edges_when_repeats_are_wanted_then_many_are_assumed() {
+    let options = Options { retry_ratio: 0.0, retry_slack: 100.0, assumed_edges: 64, ..Options::default() };
+    let mut edge = Edge::new(options);
+    edge.servers((0..6).map(|n| server(LLM, n, &["m1"])).collect());
+    let first = edge.ask_sent(&route(LLM), "m1");
+    assert!(sent(&edge.end(&first, turned_away(503))).is_some());
+    let first = edge.ask_sent(&route(LLM), "m1");
+    assert_refused(&edge.end(&first, turned_away(503)), 503, RefusalReason::TurnedAway);
+}
+
+#[test]
+fn given_a_repeat_that_found_nobody_when_more_are_wanted_then_it_has_cost_nothing() {
+    let options = Options { retry_ratio: 0.0, retry_slack: 2.0, ..Options::default() };
+    let mut edge = Edge::new(options);
+    edge.servers((0..9).map(|n| server(LLM, n, &["m1"])).collect());
+    edge.handle(Event::Edges(1));
+    let first = edge.ask_sent(&route(LLM), "m1");
+    let repeat = sent(&edge.end(&first, turned_away(503))).expect("the one repeat");
+    let again = sent(&edge.end(&repeat, unreachable())).expect("the same repeat");
+    assert_refused(&edge.end(&again, turned_away(503)), 503, RefusalReason::TurnedAway);
+}
+
+#[test]
+fn given_an_attempt_under_way_when_the_deadline_comes_then_it_is_cancelled_without_a_promise() {
+    let mut edge = Edge::with_servers(LLM, 2, &["m1"]);
+    let mut request = edge.new_request(&route(LLM), "m1");
+    request.deadline_ms = 900;
+    let sent = sent(&edge.handle(Event::Request(request))).expect("sent");
+    let ended = edge.pass(edge.now + 2000);
+    let (times, actions): (Vec<_>, Vec<_>) = ended.into_iter().unzip();
+    assert_eq!(times, vec![1950, 1950]);
+    assert_eq!(actions[0], Action::Cancel(sent.request, sent.attempt));
+    assert_refused(&actions, 504, RefusalReason::TooLate);
+    // What the driver reports of the cancelled attempt changes nothing.
+    assert_eq!(edge.end(&sent, outcome(Verdict::MayHaveRun, Ending::Cancelled)), vec![]);
+}
+
+#[test]
+fn given_no_time_left_when_a_request_comes_then_it_is_refused_at_once() {
+    let mut edge = Edge::with_servers(LLM, 2, &["m1"]);
+    let mut request = edge.new_request(&route(LLM), "m1");
+    request.deadline_ms = 0;
+    assert_refused(&edge.handle(Event::Request(request)), 503, RefusalReason::TooLate);
+}
+
+#[test]
+fn given_the_deadline_has_passed_when_an_attempt_is_turned_away_then_it_is_refused_with_a_promise() {
+    let mut edge = Edge::with_servers(LLM, 3, &["m1"]);
+    let sent = edge.ask_sent(&route(LLM), "m1");
+    edge.now += 4000;
+    assert_refused(&edge.end(&sent, turned_away(503)), 503, RefusalReason::TooLate);
+}
+
+#[test]
+fn given_a_server_that_shows_no_life_when_silence_lasts_then_a_request_that_may_repeat_is_taken_elsewhere() {
+    let mut edge = Edge::with_servers(LLM, 3, &["m1"]);
+    let first = edge.ask_sent(&idempotent(LLM), "m1");
+    let called_off = edge.pass(edge.now + 1000);
+    assert_eq!(called_off, vec![(2000, Action::Cancel(first.request, first.attempt))]);
+    let second = sent(&edge.end(&first, outcome(Verdict::MayHaveRun, Ending::Cancelled))).expect("elsewhere");
+    assert_ne!(first.server, second.server);
+}
+
+#[test]
+fn given_silence_when_the_request_may_run_once_or_the_server_answers_others_then_it_is_left_there() {
+    let mut edge = Edge::with_servers(LLM, 1, &["m1"]);
+    edge.ask_sent(&route(LLM), "m1");
+    edge.servers(vec![server(LLM, 1, &["m1"])]);
+    assert_eq!(edge.pass(edge.now + 3000), vec![]);
+
+    let mut edge = Edge::with_servers(LLM, 1, &["m1"]);
+    edge.ask_sent(&idempotent(LLM), "m1");
+    let other = edge.ask_sent(&idempotent(LLM), "m1");
+    edge.servers(vec![server(LLM, 1, &["m1"])]);
+    edge.now += 500;
+    edge.serve(&other);
+    assert_eq!(edge.pass(edge.now + 3000), vec![]);
+}
+
+#[test]
+fn given_silence_when_no_other_server_can_serve_it_then_it_is_left_there() {
+    let mut edge = Edge::with_servers(LLM, 1, &["m1"]);
+    edge.ask_sent(&idempotent(LLM), "m1");
+    assert_eq!(edge.pass(edge.now + 3000), vec![]);
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -6,8 +6,8 @@
 
 use std::collections::HashMap;
 
-use mallowpaddle::*;
 use serde_json::{Map, Value};
+use shaletrail_policy::*;
 
 /// Where the names of an instance's classes and tenants stand in its settings.
 pub struct Names {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,6 +4,9 @@
 
 use std::sync::Arc;
 
+/// What a request concerns; requests with one key share a home.
+pub use shaletrail_ring::Key;
+
 /// A point on the host's clock, or a length of time, in seconds.
 pub type Seconds = f64;
 
@@ -19,10 +22,6 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct ServerId(pub Arc<str>);
 
-/// What a request concerns; requests with one key share a home.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
-pub struct Key(pub u64);
-
 /// Index of a class in [`Settings::classes`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ClassId(pub usize);
@@ -220,6 +219,11 @@
 }
 
 impl Settings {
+    /// The entry is the origin beside the caches ([`CacheMode::Aside`]).
+    pub fn is_origin(&self, entry: &RosterEntry) -> bool {
+        matches!(&self.cache, CacheMode::Aside { origin_kind } if *origin_kind == entry.kind)
+    }
+
     /// Finds values that make no sense.
     pub fn validate(&self) -> Result<(), SettingsError> {
         let settings = self;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`Action`]s that it answers. It has no clock, no threads and no I/O; the same events give the same actions.
 //!
 //! ```
-//! use mallowpaddle::*;
+//! use shaletrail_policy::*;
 //!
 //! # fn main() -> Result<(), SettingsError> {
 //! let read = Class {
@@ -83,13 +83,15 @@
 //! # }
 //! ```
 //!
-//! All decisions are in `src/balance.rs`, all types in `src/interface.rs`.
+//! All decisions are in `src/balance.rs`, `src/balance/` and the crate `shaletrail-ring`, all types in
+//! `src/interface.rs`.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod balance;
+mod balancer;
 mod interface;
 
-pub use balance::Balancer;
+pub use balancer::Balancer;
 pub use interface::*;
--- /dev/null
+++ b/storage/src/folder.rs
@@ -0,0 +1,95 @@
+//! A folder of the system as a [`Disk`].
+
+use std::collections::HashMap;
+use std::fs::{self, File, OpenOptions};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+use crate::Disk;
+
+/// A folder of the system. Keeps the files it has used open.
+#[derive(Debug)]
+pub struct FolderDisk {
+    folder: PathBuf,
+    open: HashMap<String, File>,
+}
+
+impl FolderDisk {
+    /// Uses a folder, which is made if it is not there.
+    pub fn open(folder: &Path) -> io::Result<Self> {
+        fs::create_dir_all(folder)?;
+        Ok(FolderDisk { folder: folder.to_owned(), open: HashMap::new() })
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&File> {
+        if !self.open.contains_key(name) {
+            let file = OpenOptions::new().read(true).write(true).open(self.folder.join(name))?;
+            self.open.insert(name.to_owned(), file);
+        }
+        self.open.get(name).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+impl Disk for FolderDisk {
+    fn create(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.open.remove(name);
+        let path = self.folder.join(name);
+        let file = OpenOptions::new().read(true).write(true).create(true).truncate(true).open(path)?;
+        file.set_len(length)?;
+        self.open.insert(name.to_owned(), file);
+        Ok(())
+    }
+
+    fn read_at(&mut self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
+        let file = self.file(name)?;
+        let mut bytes = vec![0; length];
+        let mut filled = 0;
+        while let Some(rest) = bytes.get_mut(filled..).filter(|rest| !rest.is_empty()) {
+            match file.read_at(rest, offset + filled as u64) {
+                Ok(0) => break,
+                Ok(read) => filled += read,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        bytes.truncate(filled);
+        Ok(bytes)
+    }
+
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all_at(bytes, offset)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open.remove(to);
+        fs::rename(self.folder.join(from), self.folder.join(to))?;
+        if let Some(file) = self.open.remove(from) {
+            self.open.insert(to.to_owned(), file);
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open.remove(name);
+        fs::remove_file(self.folder.join(name))
+    }
+
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.folder)? {
+            // A name that is not Unicode is none of ours.
+            names.extend(entry?.file_name().into_string());
+        }
+        names.sort_unstable();
+        Ok(names)
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+}
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use mallowpaddle::*;
+use shaletrail_policy::*;
 
 fn fleet(n: u64) -> Vec<RosterEntry> {
     (1..=n).map(entry).collect()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use mallowpaddle::*;
+use shaletrail_policy::*;
 
 pub const READ: ClassId = ClassId(0);
 pub const KEYED: ClassId = ClassId(1);
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use common::{entry, read, settings, Node};
-use mallowpaddle::*;
+use shaletrail_policy::*;
 
 struct Counting;
 
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use mallowpaddle::*;
+use shaletrail_policy::*;
 
 struct Rng(u64);
 
