--- a/dataplane/src/answer.rs
+++ b/dataplane/src/answer.rs
@@ -21,6 +21,10 @@
 /// How long the server keeps a connection that rests.
 pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// Statuses that promise a client that its request has not run and never will.
+const PROMISES: [StatusCode; 3] =
+    [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
+
 /// How the body of an answer comes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyShape {
@@ -56,6 +60,9 @@
     NoEnd,
     /// A status that is no final answer.
     NotFinal,
+    /// A status that promises that the request has not run, without the server's word for it: passed on, it would
+    /// be a promise to the client that nobody can keep.
+    EmptyPromise,
 }
 
 /// Judges the head of an answer to a request with this method and `Attempt-Id`.
@@ -69,6 +76,9 @@
     if is_turned_away(head) {
         return Kind::TurnedAway;
     }
+    if PROMISES.contains(&head.status) {
+        return Kind::Garbled(Garble::EmptyPromise);
+    }
     let Some(shape) = body_shape(head, method) else { return Kind::Garbled(Garble::NoEnd) };
     if !head.status.is_success() {
         return Kind::Failure;
--- a/dataplane/src/listener.rs
+++ b/dataplane/src/listener.rs
@@ -229,7 +229,6 @@
             serve(self.state.clone(), connection, stream).await;
             self.connections.borrow_mut().remove(&number);
             self.closed.notify_waiters();
-            self.closed.notify_one();
         });
     }
 }
--- a/dataplane/tests/common/http.rs
+++ b/dataplane/tests/common/http.rs
@@ -101,6 +101,14 @@
         message
     }
 
+    /// Reads a request whole; `None` once the connection has ended.
+    pub async fn next_request(&mut self) -> Option<Message> {
+        let head = self.read_until("\r\n\r\n").await?;
+        let mut message = Message::parse_head(&head);
+        message.body = self.read_body(&message).await?;
+        Some(message)
+    }
+
     /// Reads an answer whole.
     pub async fn read_answer(&mut self) -> Message {
         self.read_request().await
--- a/dataplane/tests/requests.rs
+++ b/dataplane/tests/requests.rs
@@ -421,3 +421,96 @@
         assert_eq!(edge.coordinator.polls().last().map(|poll| poll.config_version), Some(5));
     });
 }
+
+#[test]
+fn given_a_second_answer_nobody_asked_for_when_it_comes_late_then_its_connection_is_not_used_again() {
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "non_idempotent")]), &[&server]).await;
+        let mut client = edge.connect().await;
+        client.request("/x/", "t1", "").await;
+        let (mut upstream, request) = server.accept_request().await;
+        upstream.answer(&request, "one").await;
+        client.read_answer().await;
+
+        // when
+        upstream.answer(&request, "one more").await;
+        upstream.closed().await;
+        client.request("/x/", "t2", "").await;
+        let (mut upstream, request) = server.accept_request().await;
+        upstream.answer(&request, "two").await;
+        let answer = client.read_answer().await;
+
+        // then
+        assert_eq!(request.header("attempt-id"), Some("t2"));
+        assert_eq!((answer.status(), answer.body.as_str()), (200, "two"));
+    });
+}
+
+#[test]
+fn given_many_clients_when_they_ask_at_once_then_each_gets_its_own_answers() {
+    const CLIENTS: usize = 40;
+    const REQUESTS: usize = 10;
+    run(async {
+        // given
+        let (one, two) = (Server::start("i-1").await, Server::start("i-2").await);
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "idempotent")]), &[&one, &two]).await;
+        one.echo();
+        two.echo();
+
+        // when
+        let clients = (0..CLIENTS).map(|client| {
+            let connection = edge.connect();
+            async move {
+                let mut connection = connection.await;
+                for number in 0..REQUESTS {
+                    let (id, body) = (format!("t{client}-{number}"), format!("body {client} {number}"));
+                    connection.request(&format!("/x/{client}"), &id, &body).await;
+                    let answer = connection.read_answer().await;
+
+                    // then
+                    assert_eq!((answer.status(), answer.body), (200, body));
+                    assert_eq!(answer.header("attempt-id"), Some(id.as_str()));
+                }
+            }
+        });
+        futures_join(clients).await;
+    });
+}
+
+/// Waits for all of them, each polled in a task's place.
+async fn futures_join<F: std::future::Future<Output = ()>>(futures: impl Iterator<Item = F>) {
+    let mut open: Vec<_> = futures.map(Box::pin).collect();
+    std::future::poll_fn(|context| {
+        open.retain_mut(|future| future.as_mut().poll(context).is_pending());
+        if open.is_empty() {
+            std::task::Poll::Ready(())
+        } else {
+            std::task::Poll::Pending
+        }
+    })
+    .await;
+}
+
+#[test]
+fn given_a_connection_that_rests_when_it_rests_too_long_then_it_is_closed_but_no_busy_one_is() {
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let routes = [route("r", "/x/", "idempotent")];
+        let edge = Edge::with(&common::configuration_with(&routes, 200), &[&server]).await;
+        let mut busy = edge.connect().await;
+        busy.request("/x/", "t1", "").await;
+        let (mut upstream, request) = server.accept_request().await;
+        let mut resting = edge.connect().await;
+
+        // when
+        resting.closed().await;
+        upstream.answer(&request, "still there").await;
+        let answer = busy.read_answer().await;
+
+        // then
+        assert_eq!(answer.body, "still there");
+    });
+}
--- a/dataplane/tests/streams.rs
+++ b/dataplane/tests/streams.rs
@@ -195,3 +195,32 @@
         upstream.closed().await;
     });
 }
+
+#[test]
+fn given_a_stream_that_may_be_resumed_when_its_server_falls_silent_then_it_goes_on_elsewhere() {
+    run(async {
+        // given
+        let (one, two) = (Server::start("i-1").await, Server::start("i-2").await);
+        let route = route("r", "/x/", "resumable").replace(r#""gap_aim_ms":2000"#, r#""gap_aim_ms":100"#);
+        let edge = Edge::with(&configuration(&[route]), &[&one, &two]).await;
+        let mut client = edge.connect().await;
+        client.request("/x/", "t1", "").await;
+        let (mut silent, request, _, other) = first_asked(&one, &two).await;
+        silent.stream_head(&request, "st-1").await;
+        silent.chunk(FIRST).await;
+        client.read_head().await;
+        client.read_chunk().await;
+
+        // when
+        let (mut upstream, resumed) = other.accept_request().await;
+        upstream.stream_head(&resumed, "st-2").await;
+        upstream.chunk(SECOND).await;
+        upstream.end_chunks().await;
+        let rest = (client.read_chunk().await, client.read_chunk().await);
+
+        // then
+        assert_eq!(resumed.header("last-event-id"), Some("1"));
+        assert_eq!(rest, (Some(SECOND.to_owned()), None));
+        silent.closed().await;
+    });
+}
--- a/placement/src/origin.rs
+++ b/placement/src/origin.rs
@@ -64,7 +64,7 @@
 
     /// Counts a load whose order is sent now.
     pub fn order(&mut self, now: Millis) -> LoadToken {
-        self.count(now)
+        self.count(now.saturating_add(BEGUN_WITHIN))
     }
 
     /// The order's answer is there: the load began by now.
--- a/placement/tests/stories.rs
+++ b/placement/tests/stories.rs
@@ -238,6 +238,36 @@
     assert_eq!(story.orders(), ["s0 load m1 at 3"]);
 }
 
+#[test]
+fn given_a_load_without_an_answer_when_other_servers_have_room_then_it_is_not_ordered_twice() {
+    let mut story = Story::new(4, &[&[], &[], &[]]);
+    story.ask(&[waiting("m1")]);
+    let first = story.orders();
+    let server = (0..3).find(|server| first[0].starts_with(&id(*server))).unwrap();
+    story.outcome(server, Outcome::Unknown);
+    story.ask(&[waiting("m1")]);
+    assert_eq!(story.after(1_000), [""; 0]);
+    story.now += 1_100;
+    story.report(server, 0, false, &[]);
+    assert_eq!(story.orders().len(), 1);
+}
+
+#[test]
+fn given_a_planner_that_has_just_taken_over_when_many_models_wait_then_loads_begin_at_the_rate_of_the_store()
+{
+    let planner = Planner::new("s".into(), catalogue(8), Options::default(), LATE);
+    let mut story = Story { planner, now: LATE, beats: 0 };
+    let all: Vec<_> = (0..8).map(|index| waiting(&format!("m{index}"))).collect();
+    (0..8).for_each(|server| story.heartbeat(server, &[]));
+    story.now += 500;
+    (0..8).for_each(|server| story.report(server, 0, false, &[]));
+    story.ask(&all);
+    // Two loads a second, of which a former holder may have used up those until now.
+    let counts =
+        [story.orders(), story.after(400), story.after(100), story.after(500)].map(|orders| orders.len());
+    assert_eq!(counts, [1, 0, 1, 1]);
+}
+
 #[test]
 fn given_a_server_that_is_busy_with_something_unknown_when_planned_then_it_is_asked_before_the_next_order() {
     let mut story = Story::new(4, &[&[]]);
