Let edges tell each other by datagrams what they have under way at servers

A server never says how much of prompts it still has to read, and its other load only in answers: nine edges each sent long prompts to the same server at the same moment, whose streams then paused for over 0.4 s.

--- a/consensus/src/message.rs
+++ b/consensus/src/message.rs
@@ -135,7 +135,29 @@
     },
 }
 
+/// Greater terms and indexes than this are not reached in any lifetime; sums with them might overflow.
+const PLAUSIBLE: u64 = 1 << 62;
+
 impl Message {
+    /// Whether no term or index in it is absurdly great.
+    pub(crate) fn is_plausible(&self) -> bool {
+        let (term, index) = match self {
+            Message::PreVote { term, last } | Message::Vote { term, last, .. } => {
+                (*term, last.index.max(last.term))
+            }
+            Message::Append { term, previous, .. } => (*term, previous.index.max(previous.term)),
+            Message::Install { term, snapshot, .. } => (*term, snapshot.index().max(snapshot.position.term)),
+            Message::Heartbeat { term, .. }
+            | Message::HeartbeatAnswer { term, .. }
+            | Message::AppendAnswer { term, .. }
+            | Message::PreVoteAnswer { term, .. }
+            | Message::VoteAnswer { term, .. }
+            | Message::TimeoutNow { term }
+            | Message::Readmit { term, .. } => (*term, 0),
+        };
+        term.max(index) < PLAUSIBLE
+    }
+
     /// The message's name, for logs.
     pub fn name(&self) -> &'static str {
         self.into()
--- a/consensus/src/replica.rs
+++ b/consensus/src/replica.rs
@@ -134,10 +134,10 @@
         self.reset_election();
     }
 
-    /// Takes a message from another replica.
+    /// Takes a message from another replica. One that cannot be meant is left out.
     pub fn receive(&mut self, now: Millis, from: NodeId, message: Message) {
         self.set_now(now);
-        if from == self.options.node {
+        if from == self.options.node || !message.is_plausible() {
             return;
         }
         match message {
--- a/consensus/tests/forgetful.rs
+++ b/consensus/tests/forgetful.rs
@@ -239,11 +239,13 @@
     let last = Position { term: 9, index: 9 };
     voter.receive(5000, node(1), Message::PreVote { term: 3, last });
     voter.receive(5000, node(1), Message::Vote { term: 3, last, handed_over: false });
-    for effect in voter.take_effects() {
+    let mut effects = voter.take_effects();
+    for effect in &effects {
         if let Effect::Persist { ticket, .. } = effect {
-            voter.persisted(5001, ticket);
+            voter.persisted(5001, *ticket);
         }
     }
+    effects.extend(voter.take_effects());
     let grants = |effect: &Effect| {
         matches!(
             effect,
@@ -253,7 +255,6 @@
             )
         )
     };
-    let effects = voter.take_effects();
     assert!(!effects.iter().any(grants), "{effects:?}");
 }
 
--- a/consensus/tests/group/history.rs
+++ b/consensus/tests/group/history.rs
@@ -48,7 +48,7 @@
 
 /// Plays one history of a group whose founding is synced, and checks the group after it.
 pub fn play(seed: u64, troubles: Troubles) -> Group {
-    let size = if seed % 3 == 0 { 5 } else { 3 };
+    let size = if seed.is_multiple_of(3) { 5 } else { 3 };
     let mut group = Group::founded_with(size, seed, tight);
     group.run(FOUNDING);
     let mut history = History { group, troubles, size, created: size, intensity: (seed % 4) as u32 };
@@ -93,7 +93,8 @@
     fn random_event(&mut self) {
         let roll = self.group.random.random_range(0..1000);
         match roll {
-            0..450 => self.propose(),
+            0..435 => self.propose(),
+            435..450 => self.relief(),
             450..600 => self.read(),
             600..660 => self.compact(),
             660..690 => self.checkpoint(),
@@ -258,6 +259,18 @@
         }
     }
 
+    /// All is well for a while.
+    fn relief(&mut self) {
+        self.group.heal();
+        let end = self.group.now + self.group.random.random_range(500..2500);
+        while self.group.now < end {
+            self.propose();
+            self.read();
+            self.repair();
+            self.group.run(100);
+        }
+    }
+
     /// Lets another be elected behind a leader's back, wipes one of the voters, and lets the former leader reach
     /// the others again, but not the new one.
     fn usurp(&mut self) {
--- a/consensus/tests/group/machine.rs
+++ b/consensus/tests/group/machine.rs
@@ -19,7 +19,8 @@
 /// A disk that holds encoded records.
 #[derive(Default)]
 pub struct Disk {
-    synced: Vec<Vec<u8>>,
+    /// Each was encoded and decoded on its way.
+    synced: Vec<Record>,
     pending: VecDeque<Pending>,
 }
 
@@ -31,7 +32,7 @@
     /// Syncs the next records where their time has come. Their ticket.
     pub fn sync_due(&mut self, now: Millis) -> Option<u64> {
         let pending = self.pending.pop_front_if(|pending| pending.due <= now)?;
-        self.synced.extend(pending.records.iter().map(Record::encode));
+        self.synced.extend(pending.records.iter().map(through_bytes));
         Some(pending.ticket)
     }
 
@@ -39,22 +40,21 @@
     fn lose_unsynced(&mut self, random: &mut Pcg32) {
         let unsynced: Vec<Record> = self.pending.drain(..).flat_map(|pending| pending.records).collect();
         let kept = random.random_range(0..=unsynced.len());
-        self.synced.extend(unsynced.iter().take(kept).map(Record::encode));
+        self.synced.extend(unsynced.iter().take(kept).map(through_bytes));
     }
 
-    pub fn records(&self) -> Vec<Record> {
-        self.synced.iter().map(|bytes| Record::decode(bytes).expect("own records decode")).collect()
+    pub fn records(&self) -> &[Record] {
+        &self.synced
     }
 
     /// Replaces all that is synced; what is on its way follows.
     pub fn checkpoint(&mut self, records: &[Record]) {
-        self.synced = records.iter().map(Record::encode).collect();
+        self.synced = records.iter().map(through_bytes).collect();
     }
 
     /// Whether the disk is a new one that no leader has readmitted, as far as it is synced.
     pub fn is_forgetful(&self) -> bool {
-        let records = self.records();
-        let hard = records.iter().rev().find_map(|record| match record {
+        let hard = self.synced.iter().rev().find_map(|record| match record {
             Record::Hard(hard) => Some(hard.forgetful),
             _ => None,
         });
@@ -63,8 +63,7 @@
 
     /// Whether an entry is synced here.
     pub fn holds(&self, entry: &Entry) -> bool {
-        let records = self.records();
-        let newest = records.iter().rev().find_map(|record| match record {
+        let newest = self.synced.iter().rev().find_map(|record| match record {
             Record::Entries(entries) if entries.first().is_some_and(|first| first.index <= entry.index) => {
                 Some(entries.iter().any(|held| held.position() == entry.position()))
             }
@@ -75,6 +74,10 @@
     }
 }
 
+fn through_bytes(record: &Record) -> Record {
+    Record::decode(&record.encode()).expect("own records decode")
+}
+
 /// One machine.
 pub struct Machine {
     pub replica: Option<Replica>,
@@ -126,7 +129,7 @@
         let now = self.clock(now);
         self.applied = shaletrail_consensus::FOUNDING_INDEX;
         self.commands.clear();
-        self.replica = Some(Replica::new(options, self.disk.records(), now));
+        self.replica = Some(Replica::new(options, self.disk.records().to_vec(), now));
     }
 
     pub fn crash(&mut self, random: &mut Pcg32) {
--- a/consensus/tests/replication.rs
+++ b/consensus/tests/replication.rs
@@ -233,6 +233,11 @@
     let (previous, entries) = (last, vec![gap.clone(), gap]);
     group.forge(leader, follower, Message::Append { term, previous, entries, commit: u64::MAX, stamp });
     group.forge(leader, follower, Message::Heartbeat { term, commit: u64::MAX, stamp });
+    let absurd = Position { term: u64::MAX, index: u64::MAX };
+    let (previous, entries) = (absurd, Vec::new());
+    group.forge(leader, follower, Message::Append { term, previous, entries, commit: 0, stamp });
+    group.forge(leader, follower, Message::VoteAnswer { term: u64::MAX, granted: false });
+    group.forge(leader, follower, Message::Vote { term: u64::MAX, last: absurd, handed_over: true });
     group.run(300);
     let index = group.commit_one();
     group.settle();
--- a/coordinator/src/core/demand.rs
+++ b/coordinator/src/core/demand.rs
@@ -1,6 +1,6 @@
 //! Demand that edges report with their polls, gathered until it goes to the holders of orders.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use shaletrail_protocol::inside::{Demand, EdgeReport, Observation};
 use shaletrail_protocol::{Millis, NodeId, ServerId};
@@ -11,6 +11,8 @@
 const MOST_OBSERVED: usize = 4096;
 /// How long after its last poll an edge counts as at work.
 const EDGE_STAYS: Millis = 4_000;
+/// Edges that are told of each other by name, at most: each tells all others what it has under way.
+const MOST_TOLD: usize = 128;
 /// Edges kept.
 const MOST_EDGES: usize = 2_048;
 
@@ -121,9 +123,23 @@
         self.own.keys().copied().collect()
     }
 
+    /// The edges at work in the whole system, in order; none where they are too many to be told.
+    pub fn list(&self) -> Vec<NodeId> {
+        let all: BTreeSet<NodeId> = self.own.keys().chain(self.others.keys()).copied().collect();
+        if all.len() > MOST_TOLD {
+            return Vec::new();
+        }
+        all.into_iter().collect()
+    }
+
     /// Edges at work in the whole system.
     pub fn count(&self) -> u32 {
         let elsewhere = self.others.keys().filter(|node| !self.own.contains_key(node)).count();
         (self.own.len() + elsewhere) as u32
     }
 }
+
+/// Names a list of edges.
+pub fn list_name(edges: &[NodeId]) -> u64 {
+    edges.iter().fold(1, |name, node| shaletrail_ring::mix(name ^ u64::from(node.0)))
+}
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -227,6 +227,7 @@
             edge: edge.node,
             config_version: request.config_version,
             cursor: request.cursor,
+            edge_list: request.edge_list,
             due,
         };
         self.polls.add(now, call, poll);
@@ -534,6 +535,8 @@
             };
         }
         let news = self.directory.since(poll.cursor);
+        let edges = self.edges.list();
+        let edge_list = demand::list_name(&edges);
         PollReply {
             config: self.shards.configuration().news_since(poll.config_version),
             servers: news.records,
@@ -542,6 +545,8 @@
             cursor: news.cursor,
             coordinators: self.coordinators(),
             edges: self.edges.count(),
+            edge_nodes: (edge_list != poll.edge_list).then_some(edges),
+            edge_list,
             isolated: !self.in_touch,
         }
     }
--- a/coordinator/src/core/polls.rs
+++ b/coordinator/src/core/polls.rs
@@ -21,7 +21,9 @@
     pub config_version: u64,
     /// What it knows of the directory.
     pub cursor: DirectoryCursor,
-    /// When it's answered even without news.
+    /// The list of edges that it knows.
+    pub edge_list: u64,
+    /// When it is answered even without news.
     pub due: Millis,
 }
 
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -31,6 +31,7 @@
 mod exchange;
 mod ingress;
 mod listener;
+mod peers;
 pub mod poller;
 mod readiness;
 pub mod request;
@@ -39,7 +40,7 @@
 mod upstream;
 mod watched;
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::pin::pin;
 use std::rc::Rc;
@@ -48,6 +49,7 @@
 use rand::{RngCore, SeedableRng, TryRngCore};
 use rand_pcg::Pcg64;
 use shaletrail_protocol::settings::{MachineLimits, Settings};
+use shaletrail_protocol::Incarnation;
 use shaletrail_routing::{Options, Router};
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::net::TcpListener;
@@ -57,6 +59,7 @@
 pub use control::Control;
 
 use listener::Clients;
+use peers::Peers;
 use poller::Poller;
 use state::State;
 use upstream::{Pool, PoolLimits};
@@ -177,7 +180,8 @@
     }
 
     async fn serve_local(self) {
-        let Dataplane { settings, settings_path, state, control, clients, ingress, readiness, random } = self;
+        let Dataplane { settings, settings_path, state, control, clients, ingress, readiness, mut random } = self;
+        let incarnation = Incarnation(random.next_u64());
         let poller = Poller::new(state.clone(), &settings, settings_path, random);
         let leaving = Leaving::default();
         let background = async {
@@ -186,6 +190,7 @@
                 clients.reap(),
                 readiness::serve(state.clone(), readiness),
                 poll(poller, &control, &leaving),
+                tell_peers(state.clone(), &settings, incarnation),
             )
         };
         let accepting = tokio::task::spawn_local(clients.clone().accept(ingress));
@@ -261,6 +266,15 @@
 }
 
 /// How many clients may be connected, and how many connections there may be to servers.
+/// Tells the other edges what is under way here, and hears them. Without a socket this edge goes by what it has itself.
+async fn tell_peers(state: Rc<State>, settings: &Settings, incarnation: Incarnation) {
+    let address = SocketAddrV4::new(settings.ip, settings.internal_port());
+    match Peers::open(state.clone(), address, incarnation).await {
+        Ok(peers) => peers.run().await,
+        Err(error) => slog::warn!(state.log, "other edges are not told"; "address" => %address, "error" => %error),
+    }
+}
+
 fn connection_limits(limits: &MachineLimits) -> (usize, PoolLimits) {
     let sockets = limits.max_fds.saturating_sub(RESERVED_DESCRIPTORS).max(16);
     let clients = sockets * CLIENT_PERCENT / 100;
--- /dev/null
+++ b/dataplane/src/peers.rs
@@ -0,0 +1,117 @@
+//! Datagrams between the edges: each tells the others what it has under way at servers.
+//!
+//! Nothing rests on them but how well requests are spread: an edge that hears nothing decides by what it has itself.
+
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ahash::AHashMap;
+use shaletrail_protocol::inside::{EdgeLoads, LoadShare};
+use shaletrail_protocol::{Incarnation, NodeId};
+use shaletrail_routing::interface::Event;
+use tokio::net::UdpSocket;
+
+use crate::state::State;
+
+/// Between two looks at what has changed a little.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Shares in one datagram, so that it fits into one packet.
+const MOST_SHARES: usize = 64;
+/// The longest datagram taken, in bytes.
+const LONGEST: usize = 2048;
+/// Pause after a failed read.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Edges of which the newest datagram's number is kept.
+const MOST_EDGES: usize = 256;
+
+/// The exchange with the other edges.
+pub struct Peers {
+    state: Rc<State>,
+    socket: UdpSocket,
+    node: NodeId,
+    incarnation: Incarnation,
+    port: u16,
+    sent: RefCell<u64>,
+    seen: RefCell<AHashMap<NodeId, (Incarnation, u64)>>,
+}
+
+impl Peers {
+    /// Opens the socket at this machine's address.
+    pub async fn open(
+        state: Rc<State>,
+        address: SocketAddrV4,
+        incarnation: Incarnation,
+    ) -> std::io::Result<Peers> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Peers {
+            state,
+            socket,
+            node: NodeId::from(*address.ip()),
+            incarnation,
+            port: address.port(),
+            sent: RefCell::new(0),
+            seen: RefCell::default(),
+        })
+    }
+
+    /// Tells and hears for as long as the process runs.
+    pub async fn run(&self) {
+        tokio::join!(self.tell(), self.hear());
+    }
+
+    async fn tell(&self) {
+        loop {
+            let _ = tokio::time::timeout(INTERVAL, self.state.shares_changed.notified()).await;
+            let shares = self.state.with_router(|router| router.take_shares(self.state.clock.now()));
+            for part in shares.chunks(MOST_SHARES) {
+                self.send(part).await;
+            }
+        }
+    }
+
+    async fn send(&self, shares: &[LoadShare]) {
+        let number = self.sent.replace_with(|sent| *sent + 1) + 1;
+        let loads = EdgeLoads {
+            edge: self.node,
+            incarnation: self.incarnation,
+            number,
+            shares: shares.to_vec(),
+        };
+        let datagram = bitcode::encode(&loads);
+        let edges = self.state.edges.borrow().clone();
+        for edge in edges.iter().filter(|edge| **edge != self.node) {
+            // A datagram that is lost is made good by the next.
+            let _ = self.socket.send_to(&datagram, SocketAddrV4::new(edge.address(), self.port)).await;
+        }
+    }
+
+    async fn hear(&self) {
+        let mut buffer = [0; LONGEST];
+        loop {
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            let Some(Ok(loads)) = buffer.get(..length).map(bitcode::decode::<EdgeLoads>) else { continue };
+            if self.is_new(&loads) {
+                self.state.handle(Event::Peer { edge: loads.edge, shares: loads.shares });
+            }
+        }
+    }
+
+    /// Whether it is no earlier one than the edge's newest that was seen.
+    fn is_new(&self, loads: &EdgeLoads) -> bool {
+        let mut seen = self.seen.borrow_mut();
+        if seen.len() >= MOST_EDGES && !seen.contains_key(&loads.edge) {
+            seen.clear();
+        }
+        let newest = seen.entry(loads.edge).or_insert((loads.incarnation, 0));
+        let is_new = newest.0 != loads.incarnation || loads.number > newest.1;
+        if is_new {
+            *newest = (loads.incarnation, loads.number);
+        }
+        is_new
+    }
+}
--- a/dataplane/src/poller.rs
+++ b/dataplane/src/poller.rs
@@ -90,6 +90,7 @@
     /// A whole configuration is asked for, as news did not fit.
     wants_whole: bool,
     edges: u32,
+    edge_list: u64,
     demand: Vec<Demand>,
     observed: Vec<Observation>,
     reported_at: Option<Millis>,
@@ -112,6 +113,7 @@
             cursor: DirectoryCursor::default(),
             wants_whole: false,
             edges: 0,
+            edge_list: 0,
             demand: Vec::new(),
             observed: Vec::new(),
             reported_at: None,
@@ -177,6 +179,7 @@
             hold_ms: u32::try_from(self.pace.hold.as_millis()).unwrap_or(u32::MAX),
             demand: self.demand.clone(),
             observed: self.observed.clone(),
+            edge_list: self.edge_list,
         });
         // The connection is put back only after a whole reply, so that none is used in the middle of one.
         let (mut stream, mut message) = self.connect(coordinator).await?;
@@ -231,12 +234,21 @@
         if reply.whole || !reply.servers.is_empty() {
             self.state.handle(Event::Servers { records: reply.servers, whole: reply.whole });
         }
+        self.take_edges(reply.edge_nodes, reply.edge_list);
         if reply.edges > 0 && reply.edges != self.edges {
             self.edges = reply.edges;
             self.state.handle(Event::Edges(reply.edges));
         }
     }
 
+    /// Takes over which edges there are, for the datagrams among them.
+    fn take_edges(&mut self, nodes: Option<Vec<NodeId>>, list: u64) {
+        if let Some(nodes) = nodes {
+            self.state.edges.replace(nodes.into());
+            self.edge_list = list;
+        }
+    }
+
     fn take_configuration(&mut self, news: &ConfigNews) {
         let current = self.state.view();
         if news.version <= current.version {
--- a/dataplane/src/state.rs
+++ b/dataplane/src/state.rs
@@ -12,7 +12,7 @@
 use ahash::AHashMap;
 use shaletrail_configuration::View;
 use shaletrail_protocol::settings::Settings;
-use shaletrail_protocol::{Millis, ServerId};
+use shaletrail_protocol::{Millis, NodeId, ServerId};
 use shaletrail_routing::interface::{Action, Attempt, Event, NewRequest, Refusal, RequestId};
 use shaletrail_routing::Router;
 use tokio::sync::Notify;
@@ -105,6 +105,10 @@
     timer_changed: Notify,
     /// Notified when a report cannot wait for the next poll.
     pub urgent: Notify,
+    /// Notified when the other edges should hear at once what is under way here.
+    pub shares_changed: Notify,
+    /// The edges at work, as far as the coordinators have told.
+    pub edges: RefCell<Rc<[NodeId]>>,
 }
 
 impl State {
@@ -125,6 +129,8 @@
             timer_at: Cell::new(None),
             timer_changed: Notify::new(),
             urgent: Notify::new(),
+            shares_changed: Notify::new(),
+            edges: RefCell::new(Rc::from([])),
         })
     }
 
@@ -165,6 +171,9 @@
             if router.has_urgent_report() {
                 self.urgent.notify_one();
             }
+            if router.has_urgent_shares() {
+                self.shares_changed.notify_one();
+            }
             router.next_wake()
         };
         for action in actions.drain(..) {
--- a/dataplane/src/upstream.rs
+++ b/dataplane/src/upstream.rs
@@ -23,11 +23,11 @@
 /// How long a connection may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// After this long without an acknowledgement a connection counts as broken.
-const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1200);
 /// Between two probes of a connection on which nothing moves.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const PROBE_INTERVAL: Duration = Duration::from_millis(1000);
 /// After this long in which nothing moves the first probe is sent.
-const PROBE_AFTER: Duration = Duration::from_secs(2);
+const PROBE_AFTER: Duration = Duration::from_millis(1000);
 /// How long servers keep a connection that rests, where they don't say.
 const USUAL_KEEP_ALIVE: Millis = 4_000;
 /// The part of a server's time within which an idle connection is used again, in percent.
--- a/dataplane/tests/common/http.rs
+++ b/dataplane/tests/common/http.rs
@@ -42,6 +42,7 @@
 
 impl Connection {
     pub fn new(stream: TcpStream) -> Connection {
+        stream.set_nodelay(true).expect("an option");
         Connection { stream, buffer: Vec::new() }
     }
 
--- a/dataplane/tests/common/mod.rs
+++ b/dataplane/tests/common/mod.rs
@@ -210,7 +210,12 @@
             sequence: 1,
             ..Heartbeat::default()
         };
-        ServerRecord { id: self.id.to_owned(), heartbeat, presence: Presence::Ready, ..ServerRecord::default() }
+        ServerRecord {
+            id: self.id.to_owned(),
+            heartbeat,
+            presence: Presence::Ready,
+            ..ServerRecord::default()
+        }
     }
 }
 
--- a/protocol/src/inside.rs
+++ b/protocol/src/inside.rs
@@ -56,6 +56,8 @@
     pub demand: Vec<Demand>,
     /// What the edge found out about servers since the last poll.
     pub observed: Vec<Observation>,
+    /// The list of edges that it knows, as `PollReply::edge_list`.
+    pub edge_list: u64,
 }
 
 /// Requests for one model (and adapter) that an edge took since its last report.
@@ -94,6 +96,32 @@
     pub unreachable: u32,
 }
 
+/// What one edge has under way at one server, as it tells the other edges.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct LoadShare {
+    /// Hash of the server's id (`shaletrail_ring::hash_of_name`).
+    pub server: u64,
+    /// Requests that are open there.
+    pub open: u16,
+    /// Prompt tokens of those whose answer has not begun.
+    pub prefill: u32,
+    /// Requests have been waiting there for long without any sign of life of the server.
+    pub silent: bool,
+}
+
+/// A datagram from one edge to the others: shares that have changed, or that are told anew.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct EdgeLoads {
+    /// The sender.
+    pub edge: NodeId,
+    /// This start of its process.
+    pub incarnation: Incarnation,
+    /// Rises with each datagram of one incarnation.
+    pub number: u64,
+    /// Its shares, each replacing what it told of that server before.
+    pub shares: Vec<LoadShare>,
+}
+
 /// What an edge may send after its [`Hello`].
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum EdgeRequest {
@@ -123,6 +151,10 @@
     pub coordinators: Vec<NodeId>,
     /// Data-plane nodes that the coordinators know to be at work; 0 if unknown.
     pub edges: u32,
+    /// Those nodes, where they differ from the list that the request names and are few enough to be told.
+    pub edge_nodes: Option<Vec<NodeId>>,
+    /// Names the list of these nodes: a hash of it.
+    pub edge_list: u64,
     /// This coordinator has lost touch with the majority: ask another.
     pub isolated: bool,
 }
--- a/routing/src/attempts.rs
+++ b/routing/src/attempts.rs
@@ -39,6 +39,9 @@
     pub(crate) fn release(&mut self, request: &Request, out: &Out) {
         if let Some(server) = self.servers.get_mut(out.server) {
             server.open = server.open.saturating_sub(1);
+            if !out.answered {
+                self.shares_changed |= server.share.answered(out.sent_at, out.prefill);
+            }
         }
         if let Some(fleet) = self.fleets.get_mut(&request.wanted.service) {
             fleet.open = fleet.open.saturating_sub(1);
@@ -211,6 +214,16 @@
         self.keep(request, Phase::Out(out));
     }
 
+    /// A client has left while an attempt was under way. That speaks against the server if it has let the client wait
+    /// for long and has said nothing to anybody since.
+    pub(crate) fn note_departure(&mut self, now: Millis, out: &Out) {
+        if now.saturating_sub(out.sent_at) >= self.options.silence_ms && !out.answered {
+            self.note_silence(now, out);
+        } else if let Some(server) = self.servers.get_mut(out.server) {
+            server.health.trial_over();
+        }
+    }
+
     /// An attempt was given up: that speaks against a server that has said nothing since.
     fn note_silence(&mut self, now: Millis, out: &Out) {
         let Some(server) = self.servers.get_mut(out.server) else { return };
--- a/routing/src/choice.rs
+++ b/routing/src/choice.rs
@@ -10,6 +10,7 @@
 
 use crate::fleet::Fleet;
 use crate::interface::NewRequest;
+use crate::peers::PeerLoads;
 use crate::report::Wanted;
 use crate::servers::{Room, Server, ServerHandle, Servers, Standing};
 use crate::Options;
@@ -33,6 +34,9 @@
     pub server: ServerHandle,
     /// Whether every server was at the cap.
     pub crowded: bool,
+    /// Whether it is the first in the key's sequence that can serve it: it has likely read what the key's requests
+    /// share.
+    pub at_home: bool,
 }
 
 /// Why there is none.
@@ -76,17 +80,19 @@
 pub(crate) fn choose(
     fleet: &Fleet,
     servers: &Servers,
+    peers: &PeerLoads,
     ask: &Ask<'_>,
     now: Millis,
     options: &Options,
 ) -> Result<Chosen, Unavailable> {
     let valid = fleet.usual_ms().clamp(options.load_min_ms, options.load_max_ms.max(options.load_min_ms));
-    Choice { fleet, servers, ask, now, valid, options }.choose()
+    Choice { fleet, servers, peers, ask, now, valid, options }.choose()
 }
 
 struct Choice<'a> {
     fleet: &'a Fleet,
     servers: &'a Servers,
+    peers: &'a PeerLoads,
     ask: &'a Ask<'a>,
     now: Millis,
     /// How long what an answer told of a server's load counts, in milliseconds.
@@ -159,28 +165,51 @@
         field
     }
 
-    /// The first in the key's sequence that is below the cap and not known to be full.
-    fn first_below_cap(&self, able: &[Candidate<'_>]) -> Option<Chosen> {
+    /// The first in the key's sequence that is below the cap, not known to be full and at ease; where none is at
+    /// ease, the one below the cap with the least of prompts to read.
+    fn first_below_cap(&self, able: &[(ServerHandle, &Server)]) -> Option<Chosen> {
         let cap = cap(self.fleet.open + 1, able.len() as u32, self.options);
         let takes = |server: &Server| server.open < cap && self.room(server) == Room::Slots;
-        let mut takers = able.iter().filter(|(_, server)| takes(server)).map(|(handle, _)| *handle);
-        let first = takers.next()?;
-        let mut others = takers.peekable();
-        if others.peek().is_none() {
-            return Some(Chosen { server: first, crowded: false });
+        let takers: Vec<(ServerHandle, &Server)> =
+            able.iter().filter(|(_, server)| takes(server)).copied().collect();
+        if let [(only, _)] = takers.as_slice() {
+            return Some(Chosen { server: *only, crowded: false, at_home: able.len() == 1 });
         }
-        let takers: Vec<ServerHandle> = std::iter::once(first).chain(others).collect();
-        let server = self.fleet.array.sequence(self.ask.key).find(|owner| takers.contains(owner))?;
-        Some(Chosen { server: *server, crowded: false })
+        let mut sequence = self.fleet.array.sequence(self.ask.key).copied();
+        let mut home = None;
+        let at_ease = sequence.find(|owner| {
+            if home.is_none() && able.iter().any(|(handle, _)| handle == owner) {
+                home = Some(*owner);
+            }
+            takers.iter().any(|(handle, server)| handle == owner && self.is_at_ease(server))
+        });
+        let server = match at_ease {
+            Some(server) => server,
+            None => takers.iter().min_by_key(|(_, server)| self.strain(server)).map(|(handle, _)| *handle)?,
+        };
+        Some(Chosen { server, crowded: false, at_home: home == Some(server) })
+    }
+
+    /// Whether a request would be worked on soon, as far as the edges know.
+    fn is_at_ease(&self, server: &Server) -> bool {
+        let (silent, prefill, _) = self.strain(server);
+        !silent && prefill <= self.options.prefill_ease
+    }
+
+    /// How much speaks against sending a request there now: silence, prompts that wait to be read, open requests.
+    fn strain(&self, server: &Server) -> (bool, u64, u32) {
+        let elsewhere = self.peers.at(server.share.key);
+        let silent = elsewhere.silent > 0 || server.is_silent(self.now, self.options);
+        (silent, server.share.prefill + elsewhere.prefill, server.open + elsewhere.open)
     }
 
     /// The one with the fewest requests for its slots, of those with a free slot or else a place to wait.
-    fn least_loaded(&self, able: &[Candidate<'_>]) -> Option<Chosen> {
+    fn least_loaded(&self, able: &[(ServerHandle, &Server)]) -> Option<Chosen> {
         let load = |server: &Server| f64::from(server.occupied(self.since())) / f64::from(server.slots());
         let open = able.iter().map(|(handle, server)| (self.room(server), load(server), *handle));
         let open = open.filter(|(room, _, _)| *room != Room::Full);
         let least = open.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
-        least.map(|(_, _, server)| Chosen { server, crowded: true })
+        least.map(|(_, _, server)| Chosen { server, crowded: true, at_home: false })
     }
 
     fn room(&self, server: &Server) -> Room {
--- a/routing/src/interface.rs
+++ b/routing/src/interface.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use shaletrail_configuration::{Route, View};
-use shaletrail_protocol::inside::ServerRecord;
-use shaletrail_protocol::{Millis, ServerId};
+use shaletrail_protocol::inside::{LoadShare, ServerRecord};
+use shaletrail_protocol::{Millis, NodeId, ServerId};
 
 /// Names a request at this edge; given by the driver, never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -28,6 +28,13 @@
     },
     /// Edges at work in the whole system, this one included; shares budgets and limits.
     Edges(u32),
+    /// Another edge has told what it has under way at servers.
+    Peer {
+        /// The edge.
+        edge: NodeId,
+        /// What it told.
+        shares: Vec<LoadShare>,
+    },
     /// A client's request, its head read whole. Its route was looked up in the configuration then in force.
     Request(NewRequest),
     /// An attempt's request has been written to a server's connection, in part at least.
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `attempts` | attempts under way: evidence, silence, end |
 //! | `endings` | the table of requests and their final actions |
 //! | `requests` | a request and its phases |
+//! | `peers`, `share` | what the edges have under way at servers, told among them |
 //! | `choice` | the server of a request: RJ-CH sequence, cap, known load |
 //! | `servers` | what is known of each server |
 //! | `fleet` | the servers of one service |
@@ -30,11 +31,13 @@
 mod holding;
 pub mod interface;
 mod options;
+mod peers;
 mod placing;
 mod report;
 mod requests;
 mod router;
 mod servers;
+mod share;
 mod window;
 
 pub use counters::Counters;
--- a/routing/src/options.rs
+++ b/routing/src/options.rs
@@ -56,6 +56,10 @@
     pub backoff_longest_ms: Millis,
     /// The shortest silence after which a request that may run twice is taken elsewhere.
     pub silence_ms: Millis,
+    /// Prompt tokens that may wait to be read at a server before a request goes to another one.
+    pub prefill_ease: u64,
+    /// How long a server may show no sign of life to a request before others avoid it.
+    pub silent_ms: Millis,
     /// How long a server that the directory no longer lists is kept for want of others.
     pub unlisted_ms: Millis,
     /// The shortest `Retry-After`.
@@ -98,6 +102,8 @@
             backoff_first_ms: 500,
             backoff_longest_ms: 5000,
             silence_ms: 1000,
+            prefill_ease: 1_500,
+            silent_ms: 400,
             unlisted_ms: 10_000,
             retry_after_min_ms: 50,
             retry_after_max_ms: 2000,
--- a/routing/src/placing.rs
+++ b/routing/src/placing.rs
@@ -82,7 +82,7 @@
         let Some(fleet) = self.fleets.get(&request.wanted.service) else { return Err(Unavailable::NoServer) };
         let connections = self.connections_share(&request.wanted.service);
         let ask = Ask { key: request.key, wanted: &request.wanted, tried: &request.tried, connections };
-        choose(fleet, &self.servers, &ask, now, &self.options)
+        choose(fleet, &self.servers, &self.peers, &ask, now, &self.options)
     }
 
     /// Connections to one server of a service that this edge may hold.
@@ -99,6 +99,8 @@
         let Some(server) = self.servers.get_mut(chosen.server) else {
             return self.refuse(now, request, RefusalReason::NoServer, actions);
         };
+        let prefill = request.prefill(chosen.at_home);
+        self.shares_changed |= server.share.sent(now, prefill);
         server.open += 1;
         server.health.sent();
         let (id, address) = (server.record.id.clone(), server.record.heartbeat.address.clone());
@@ -136,6 +138,8 @@
             sent_at: now,
             until: request.deadline_at + self.options.deadline_grace_ms,
             silent_at: request.new.route.kind.may_repeat().then_some(now + silence),
+            prefill,
+            answered: false,
             repeat,
             called_off: false,
         };
--- a/routing/src/requests.rs
+++ b/routing/src/requests.rs
@@ -66,6 +66,16 @@
         self.new.id
     }
 
+    /// Prompt tokens that a server has to read. Where it has likely read the parts that others share, these don't
+    /// count.
+    pub fn prefill(&self, shared_are_there: bool) -> u32 {
+        let whole = self.new.tokens.map_or(0, |(prompt, _)| prompt);
+        match self.new.prompt.last() {
+            Some((_, own)) if shared_are_there && self.new.prompt.len() > 1 => (*own).min(whole),
+            _ => whole,
+        }
+    }
+
     /// Whether it surely has not run, with no attempt out.
     pub fn surely_not_run(&self) -> bool {
         self.verdict <= Verdict::SurelyNotRun
@@ -139,6 +149,10 @@
     pub until: Millis,
     /// When its silence is looked at, where it may be taken elsewhere.
     pub silent_at: Option<Millis>,
+    /// Prompt tokens that the server has to read before it answers, as far as this edge can tell.
+    pub prefill: u32,
+    /// Whether the answer has begun.
+    pub answered: bool,
     /// Whether it took a repeat of the budget.
     pub repeat: bool,
     /// Whether the router called it off in order to go elsewhere.
--- a/routing/src/router.rs
+++ b/routing/src/router.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use shaletrail_configuration::{Route, View};
-use shaletrail_protocol::inside::{Demand, Observation, ServerRecord};
+use shaletrail_protocol::inside::{Demand, LoadShare, Observation, ServerRecord};
 use shaletrail_protocol::Millis;
 
 use crate::choice::request_key;
@@ -17,6 +17,7 @@
     Action, Attempt, Ending, Event, NewRequest, NextWake, Outcome, RefusalReason, RequestId, ServerLoad,
     Verdict,
 };
+use crate::peers::PeerLoads;
 use crate::report::{count_arrival, take_observations, DemandTable, Wanted};
 use crate::requests::{Out, Phase, Request};
 use crate::servers::{Merge, ServerHandle, Servers, Standing};
@@ -38,6 +39,10 @@
     pub(crate) counters: Counters,
     /// A request has begun to wait for a model since the last report.
     pub(crate) urgent: bool,
+    /// What the other edges have under way.
+    pub(crate) peers: PeerLoads,
+    /// The other edges should hear at once what this one has under way.
+    pub(crate) shares_changed: bool,
 }
 
 impl Router {
@@ -57,6 +62,8 @@
             demand: DemandTable::default(),
             counters: Counters::default(),
             urgent: false,
+            peers: PeerLoads::default(),
+            shares_changed: false,
         }
     }
 
@@ -66,6 +73,7 @@
             Event::View(view) => self.on_view(now, view, actions),
             Event::Servers { records, whole } => self.on_servers(now, records, whole, actions),
             Event::Edges(edges) => self.edges = edges,
+            Event::Peer { edge, shares } => self.peers.tell(now, edge, shares),
             Event::Request(request) => self.on_request(now, request, actions),
             Event::Written(..) => {}
             Event::Head(id, attempt, load) => self.on_head(now, id, attempt, load),
@@ -91,6 +99,22 @@
         (self.demand.take(), take_observations(&mut self.servers))
     }
 
+    /// What the other edges should hear of what this one has under way at servers.
+    pub fn take_shares(&mut self, now: Millis) -> Vec<LoadShare> {
+        self.shares_changed = false;
+        let options = &self.options;
+        let told = self.servers.iter_mut().filter_map(|server| {
+            let silent = server.is_silent(now, options);
+            server.share.to_tell(now, server.open, silent)
+        });
+        told.collect()
+    }
+
+    /// Whether the other edges should hear at once.
+    pub fn has_urgent_shares(&self) -> bool {
+        self.shares_changed
+    }
+
     /// Whether a request has begun to wait for a model or an adapter since the last report.
     pub fn has_urgent_report(&self) -> bool {
         self.urgent
@@ -294,6 +318,8 @@
     fn on_first(&mut self, now: Millis, id: RequestId, attempt: Attempt) {
         let Some((_, out)) = self.out_of(id, attempt) else { return };
         let (handle, silent_at, until) = (out.server, out.silent_at.take(), out.until);
+        let (sent_at, prefill) = (out.sent_at, out.prefill);
+        let first = !std::mem::replace(&mut out.answered, true);
         if let Some(silent_at) = silent_at.filter(|at| *at < until) {
             self.timers.remove(&(silent_at, id));
             self.timers.insert((until, id));
@@ -301,6 +327,9 @@
         if let Some(server) = self.servers.get_mut(handle) {
             server.heard_at = now;
             server.health.shows_life();
+            if first {
+                self.shares_changed |= server.share.answered(sent_at, prefill);
+            }
         }
     }
 
@@ -354,9 +383,7 @@
         let Some((request, phase)) = self.take(id) else { return };
         if let Phase::Out(out) = phase {
             self.release(&request, &out);
-            if let Some(server) = self.servers.get_mut(out.server) {
-                server.health.trial_over();
-            }
+            self.note_departure(now, &out);
             actions.push(Action::Cancel(id, out.attempt));
         }
         let service = request.wanted.service.clone();
@@ -389,6 +416,7 @@
         while let Some((_, id)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
             self.on_timer(now, id, actions);
         }
+        self.peers.expire(now);
         self.drop_servers(now);
     }
 
--- a/routing/src/servers.rs
+++ b/routing/src/servers.rs
@@ -9,6 +9,7 @@
 use crate::health::Health;
 use crate::interface::ServerLoad;
 use crate::report::Wanted;
+use crate::share::OwnShare;
 use crate::Options;
 
 /// Ids of servers that have left which are remembered, so that no late record brings them back.
@@ -55,6 +56,8 @@
     pub open: u32,
     /// What speaks against it.
     pub health: Health,
+    /// What this edge has under way there.
+    pub share: OwnShare,
     /// When an answer last came from it.
     pub heard_at: Millis,
     /// For the next report.
@@ -76,6 +79,7 @@
     fn new(record: ServerRecord) -> Self {
         let observed = Observation { server: record.id.clone(), succeeded: 0, failed: 0, unreachable: 0 };
         Server {
+            share: OwnShare::new(&record.id),
             record,
             open: 0,
             health: Health::default(),
@@ -169,6 +173,11 @@
         told.unwrap_or(self.record.heartbeat.slots).max(1)
     }
 
+    /// Whether it has shown no sign of life for long to a request that waits there.
+    pub fn is_silent(&self, now: Millis, options: &Options) -> bool {
+        self.share.is_silent(now, self.heard_at, options.silent_ms)
+    }
+
     /// Requests that are there by the best knowledge: those of this edge, and what an answer told since `since`.
     pub fn occupied(&self, since: Millis) -> u32 {
         let told = self.told(since).map(|seen| {
--- a/routing/tests/repeats.rs
+++ b/routing/tests/repeats.rs
@@ -261,3 +261,13 @@
     assert_eq!(later.iter().map(|(at, _)| *at).collect::<Vec<_>>(), vec![1050]);
     assert!(sent(&[later[0].1.clone()]).is_some());
 }
+
+#[test]
+fn given_nobody_at_the_only_holder_when_the_aim_is_near_then_it_is_not_held_as_for_a_model_to_come() {
+    let mut edge = Edge::with_servers(LLM, 1, &["m1"]);
+    let first = edge.ask_sent(&Route { target_latency_ms: 100, ..route(LLM) }, "m1");
+    assert_eq!(edge.end(&first, unreachable()), vec![]);
+    let (times, actions): (Vec<_>, Vec<_>) = edge.pass(edge.now + 200).into_iter().unzip();
+    assert_eq!(times, vec![1025]);
+    assert_refused(&actions, 503, RefusalReason::Full);
+}
