--- /dev/null
+++ b/simulation/src/edge.rs
@@ -0,0 +1,317 @@
+//! An edge's process: the production router, and polls of coordinators as the production poller makes them.
+
+use std::sync::Arc;
+
+use rand::Rng;
+use shaletrail_configuration::View;
+use shaletrail_dataplane::coordinators::Coordinators;
+use shaletrail_dataplane::poller::Pace;
+use shaletrail_protocol::frame;
+use shaletrail_protocol::inside::{
+    ConfigNews, Demand, DirectoryCursor, EdgeIdentity, EdgeRequest, Observation, PollReply, PollRequest,
+};
+use shaletrail_protocol::settings::Settings;
+use shaletrail_protocol::{Incarnation, Millis, NodeId};
+use shaletrail_routing::interface::Event;
+use shaletrail_routing::{Options, Router};
+
+use crate::message::{decode, Answer, Call, CallNumber, Message};
+use crate::requests::Requests;
+use crate::site;
+use crate::world::{Timer, World};
+
+/// How long a connection to a coordinator may take to come up, as in the poller.
+const CONNECT_TIMEOUT: Millis = 300;
+/// The least time between the starts of two polls that succeeded, as in the poller.
+const LEAST_SPACING: Millis = 20;
+/// The least time between two reports, as in the poller.
+const REPORT_INTERVAL: Millis = 250;
+/// How long an urgent report waits for others to go with it, as in the poller.
+const URGENT_DELAY: Millis = 5;
+/// The shortest and longest pause after all coordinators have failed, as in the poller.
+const ROUND_PAUSE: std::ops::RangeInclusive<u64> = 100..=300;
+
+/// A poll under way.
+#[derive(Clone, Copy, Debug)]
+struct Polling {
+    number: CallNumber,
+    coordinator: NodeId,
+    begun: Millis,
+    /// Whether it has been sent; otherwise its connection does not come up.
+    sent: bool,
+}
+
+/// An edge's process.
+pub struct Edge {
+    identity: EdgeIdentity,
+    pub(crate) router: Router,
+    pub(crate) requests: Requests,
+    view: Arc<View>,
+    started: Millis,
+    pace: Pace,
+    coordinators: Coordinators,
+    connected: Option<NodeId>,
+    polling: Option<Polling>,
+    cursor: DirectoryCursor,
+    wants_whole: bool,
+    edges: u32,
+    demand: Vec<Demand>,
+    observed: Vec<Observation>,
+    reported_at: Option<Millis>,
+    urgent: bool,
+    router_wake: Option<Millis>,
+}
+
+impl Edge {
+    /// Starts a process that knows nothing yet.
+    pub fn start(settings: &Settings, world: &mut World) -> Self {
+        let incarnation = Incarnation(world.between(1..=u64::MAX));
+        let node = settings.node();
+        let seed = world.random.random();
+        world.wake(node, world.now, Timer::PollStep);
+        Edge {
+            identity: EdgeIdentity { node, incarnation, zone: settings.zone.clone() },
+            router: Router::new(Options::within(&settings.bounds), seed),
+            requests: Requests::default(),
+            view: Arc::default(),
+            started: world.now,
+            pace: Pace::within(settings.bounds.convergence, settings.bounds.drain),
+            coordinators: Coordinators::new(node, settings.seed_nodes()),
+            connected: None,
+            polling: None,
+            cursor: DirectoryCursor::default(),
+            wants_whole: false,
+            edges: 0,
+            demand: Vec::new(),
+            observed: Vec::new(),
+            reported_at: None,
+            urgent: false,
+            router_wake: None,
+        }
+    }
+
+    /// The machine.
+    pub fn node(&self) -> NodeId {
+        self.identity.node
+    }
+
+    /// The configuration in force.
+    pub fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// The router, for tests that look for the cause of what was seen.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// The coordinator that is polled.
+    pub fn polls(&self) -> Option<NodeId> {
+        self.polling.map(|polling| polling.coordinator)
+    }
+
+    /// Takes over the seeds of the settings file as it stands now.
+    pub fn set_seeds(&mut self, seeds: Vec<NodeId>) {
+        self.coordinators.set_seeds(seeds);
+    }
+
+    pub(crate) fn clock(&self, world: &World) -> Millis {
+        world.now.saturating_sub(self.started)
+    }
+
+    /// The process ends.
+    pub fn kill(self, world: &mut World) {
+        if let Some(polling) = self.polling.filter(|polling| polling.sent) {
+            world.send(self.identity.node, polling.coordinator, Message::Closed { number: polling.number });
+        }
+        self.requests.close_all(self.identity.node, world);
+    }
+
+    /// Something has come over a link.
+    pub fn receive(&mut self, world: &mut World, message: Message) {
+        match message {
+            Message::Answer { number, answer: Answer::Poll(frame) } => self.poll_answered(world, number, &frame),
+            Message::Answer { number, answer: Answer::Request { status, instance } } => {
+                self.request_answered(world, number, status, instance);
+            }
+            Message::Refused { number, accepted } => {
+                if self.polling.is_some_and(|polling| polling.number == number) {
+                    self.poll_failed(world);
+                } else {
+                    self.request_refused(world, number, accepted);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// It has been woken. `seeds` are those that the settings file names now.
+    pub fn wake(&mut self, world: &mut World, timer: Timer, seeds: &[NodeId]) {
+        match timer {
+            Timer::PollStep if self.polling.is_none() => self.poll(world),
+            Timer::PollRound if self.polling.is_none() => {
+                self.coordinators.set_seeds(seeds.to_vec());
+                self.coordinators.begin_round();
+                self.poll(world);
+            }
+            Timer::PollLate(number) if self.polling.is_some_and(|polling| polling.number == number) => {
+                self.poll_failed(world);
+            }
+            Timer::UrgentReport => self.report_urgently(world),
+            Timer::Router => {
+                if self.router_wake.is_some_and(|at| at <= self.clock(world)) {
+                    self.router_wake = None;
+                }
+                if self.router.next_wake().is_some_and(|at| at <= self.clock(world)) {
+                    self.tell(world, Event::Tick);
+                }
+                self.arm(world);
+            }
+            Timer::RequestUnreachable(number) => self.request_unreachable(world, number),
+            _ => {}
+        }
+    }
+
+    /// Tells the router something, and does what it asks for.
+    pub(crate) fn tell(&mut self, world: &mut World, event: Event) {
+        let mut actions = Vec::new();
+        self.router.handle(self.clock(world), event, &mut actions);
+        if self.router.has_urgent_report() && !self.urgent {
+            self.urgent = true;
+            self.arm_urgent(world);
+        }
+        for action in actions {
+            self.carry_out(world, action);
+        }
+        self.arm(world);
+    }
+
+    fn arm(&mut self, world: &mut World) {
+        let Some(next) = self.router.next_wake() else { return };
+        if self.router_wake.is_none_or(|armed| next < armed) {
+            self.router_wake = Some(next);
+            world.wake(self.node(), self.started + next, Timer::Router);
+        }
+    }
+
+    // ---- Polls -----------------------------------------------------------------------------------------
+
+    fn poll(&mut self, world: &mut World) {
+        let Some(coordinator) = self.coordinators.choose() else {
+            let pause = world.between(ROUND_PAUSE);
+            return world.wake(self.node(), world.now + pause, Timer::PollRound);
+        };
+        self.gather_report(world);
+        let number = world.number();
+        let known = self.connected.take() == Some(coordinator);
+        let sent = known || world.network.can_connect(self.node(), coordinator);
+        self.polling = Some(Polling { number, coordinator, begun: world.now, sent });
+        if !sent {
+            return world.wake(self.node(), world.now + CONNECT_TIMEOUT, Timer::PollLate(number));
+        }
+        let frame = frame::encode(&EdgeRequest::Poll(self.poll_request()));
+        let call = Call::Poll { edge: self.identity.clone(), frame };
+        world.send(self.node(), coordinator, Message::Call { number, call });
+        let patience = (self.pace.hold + self.pace.late).as_millis() as Millis;
+        world.wake(self.node(), world.now + patience, Timer::PollLate(number));
+        self.arm_urgent(world);
+    }
+
+    fn poll_request(&self) -> PollRequest {
+        PollRequest {
+            config_version: if self.wants_whole { 0 } else { self.view.version },
+            cursor: self.cursor,
+            hold_ms: self.pace.hold.as_millis() as u32,
+            demand: self.demand.clone(),
+            observed: self.observed.clone(),
+        }
+    }
+
+    fn poll_answered(&mut self, world: &mut World, number: CallNumber, frame: &[u8]) {
+        let Some(polling) = self.polling.take_if(|polling| polling.number == number) else { return };
+        let reply: PollReply = decode(frame);
+        self.demand.clear();
+        self.observed.clear();
+        if reply.isolated {
+            // With nothing better known, what such a coordinator remembers is better than nothing.
+            if self.view.version == 0 {
+                self.take_over(world, reply);
+            }
+            self.coordinators.failed();
+            return world.wake(self.node(), world.now, Timer::PollStep);
+        }
+        self.connected = Some(polling.coordinator);
+        self.coordinators.succeeded();
+        self.take_over(world, reply);
+        world.wake(self.node(), world.now.max(polling.begun + LEAST_SPACING), Timer::PollStep);
+    }
+
+    fn poll_failed(&mut self, world: &mut World) {
+        let Some(polling) = self.polling.take() else { return };
+        if polling.sent {
+            world.send(self.node(), polling.coordinator, Message::Closed { number: polling.number });
+        }
+        self.coordinators.failed();
+        world.wake(self.node(), world.now, Timer::PollStep);
+    }
+
+    /// Reports that have not reached a coordinator are sent again, before new ones are made.
+    fn gather_report(&mut self, world: &World) {
+        let now = self.clock(world);
+        let is_due = self.reported_at.is_none_or(|at| now.saturating_sub(at) >= REPORT_INTERVAL);
+        if is_due && self.demand.is_empty() && self.observed.is_empty() {
+            self.reported_at = Some(now);
+            (self.demand, self.observed) = self.router.take_report(now);
+        }
+    }
+
+    fn arm_urgent(&self, world: &mut World) {
+        if self.urgent && self.polling.is_some_and(|polling| polling.sent) {
+            world.wake(self.node(), world.now + URGENT_DELAY, Timer::UrgentReport);
+        }
+    }
+
+    fn report_urgently(&mut self, world: &mut World) {
+        let Some(polling) = self.polling.filter(|polling| polling.sent && self.urgent) else { return };
+        self.urgent = false;
+        let (demand, seen) = self.router.take_report(self.clock(world));
+        self.observed.extend(seen);
+        let frame = frame::encode(&EdgeRequest::Report { demand });
+        world.send(self.node(), polling.coordinator, Message::EdgeReport { edge: self.identity.clone(), frame });
+    }
+
+    fn take_over(&mut self, world: &mut World, reply: PollReply) {
+        self.coordinators.learn(reply.coordinators);
+        if let Some(news) = reply.config {
+            self.take_configuration(world, &news);
+        }
+        self.cursor = reply.cursor;
+        if reply.whole || !reply.servers.is_empty() {
+            self.tell(world, Event::Servers { records: reply.servers, whole: reply.whole });
+        }
+        if reply.edges > 0 && reply.edges != self.edges {
+            self.edges = reply.edges;
+            self.tell(world, Event::Edges(reply.edges));
+        }
+    }
+
+    fn take_configuration(&mut self, world: &mut World, news: &ConfigNews) {
+        if news.version <= self.view.version {
+            // An older coordinator, or the whole configuration that we have.
+            self.wants_whole = false;
+            return;
+        }
+        let mut view = View::clone(&self.view);
+        match view.apply(news) {
+            Ok(()) => {
+                self.wants_whole = false;
+                let (version, change) = (view.version, site::marked_in_view(&view));
+                world.witness.in_force(world.now, self.node(), self.identity.incarnation, version, change);
+                self.view = Arc::new(view);
+                let view = Arc::clone(&self.view);
+                self.tell(world, Event::View(view));
+            }
+            Err(_) => self.wants_whole = true,
+        }
+    }
+}
