--- a/daemon/tests/roles.rs
+++ b/daemon/tests/roles.rs
@@ -20,9 +20,9 @@
     )
 }
 
-fn data_plane_settings(ip: &str) -> String {
+fn data_plane_settings(ip: &str, seed: &str) -> String {
     format!(
-        "nodeName=edge-1\nip={ip}\nzone=hall-a\nephemeralPorts=7660,7675\nseedNodes={ip}:{CONTROL_PORT}\n\
+        "nodeName=edge-1\nip={ip}\nzone=hall-a\nephemeralPorts=7660,7675\nseedNodes={seed}:{CONTROL_PORT}\n\
          listenersMap.ingress={ip}:{INGRESS_PORT}\nlistenersMap.readiness={ip}:8140\nbounds.graceS=2\n"
     )
 }
@@ -56,7 +56,7 @@
 fn given_an_address_that_is_taken_when_a_data_plane_starts_then_it_ends_with_1_and_names_the_address() {
     let ip = loopback(1);
     let _taken = TcpListener::bind((ip.as_str(), INGRESS_PORT)).expect("the address is free");
-    let file = settings_file(&folder("data-plane-address-taken"), &data_plane_settings(&ip));
+    let file = settings_file(&folder("data-plane-address-taken"), &data_plane_settings(&ip, &ip));
 
     let ended = end_of(shaletrail(&["data-plane", "--settings", &file]));
 
@@ -101,12 +101,12 @@
 
 #[test]
 fn given_a_data_plane_that_finds_no_coordinator_when_sigterm_comes_then_it_ends_with_0_within_its_grace() {
-    let ip = loopback(4);
-    let file = settings_file(&folder("data-plane-ends"), &data_plane_settings(&ip));
+    let (ip, nobody) = (loopback(4), loopback(5));
+    let file = settings_file(&folder("data-plane-ends"), &data_plane_settings(&ip, &nobody));
 
     let (process, lines) = start("data-plane", &file);
 
-    wait_for_line(&lines, &["coordinator given up", &ip]);
+    wait_for_line(&lines, &["coordinator given up", &nobody]);
     process.signal("TERM");
     wait_for_line(&lines, &["stopping"]);
     let status = process.wait();
