--- /dev/null
+++ b/cluster/tests/directories/mod.rs
@@ -0,0 +1,102 @@
+//! Directories without a net, and what is handed to them.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use shaletrail_cluster::directory::{Directory, DirectoryMessage, Options};
+use shaletrail_protocol::inside::{Presence, ServerRecord};
+use shaletrail_protocol::outside::{Heartbeat, ServerState};
+use shaletrail_protocol::{Incarnation, Millis, NodeId};
+
+pub const OWN: NodeId = NodeId(1);
+pub const PEER: NodeId = NodeId(2);
+pub const OTHER: NodeId = NodeId(3);
+pub const HEARTBEAT_MS: Millis = 1000;
+pub const SILENCE_MS: Millis = 3200;
+
+pub fn directory(node: NodeId, incarnation: u64, now: Millis) -> Directory {
+    Directory::new(Options::for_heartbeat(HEARTBEAT_MS), node, Incarnation(incarnation), now)
+}
+
+/// A directory of a group of three that has been at work for a while.
+pub fn settled_directory() -> Directory {
+    let mut directory = directory(OWN, 11, 0);
+    directory.set_peers(0, &[PEER, OTHER]);
+    directory.set_voters(&[OWN, PEER, OTHER]);
+    run_idle(&mut directory, 0, 10_000);
+    directory
+}
+
+/// Calls `tick` whenever it is asked for.
+pub fn run_idle(directory: &mut Directory, from: Millis, until: Millis) {
+    let mut now = from;
+    while now < until {
+        directory.tick(now);
+        now = directory.next_wake().clamp(now + 1, until);
+    }
+    directory.tick(until);
+}
+
+pub fn heartbeat(port: u16, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        service: "pages".into(),
+        address: format!("10.0.0.9:{port}"),
+        slots: 4,
+        sequence,
+        ..Heartbeat::default()
+    }
+}
+
+pub fn draining(port: u16, sequence: u64) -> Heartbeat {
+    Heartbeat { state: ServerState::Draining, ..heartbeat(port, sequence) }
+}
+
+pub fn record(id: &str, presence: Presence, heartbeat: Heartbeat) -> ServerRecord {
+    ServerRecord { id: id.into(), heartbeat, presence, ..ServerRecord::default() }
+}
+
+pub fn presence(directory: &Directory, id: &str) -> Option<Presence> {
+    directory.record(id).map(|record| record.presence)
+}
+
+pub struct SentBatch {
+    pub to: NodeId,
+    pub number: u64,
+    pub records: Vec<ServerRecord>,
+}
+
+pub fn take_batches(directory: &mut Directory) -> Vec<SentBatch> {
+    let batch = |(to, message)| match message {
+        DirectoryMessage::Batch { batch, records } => Some(SentBatch { to, number: batch, records }),
+        _ => None,
+    };
+    directory.take_sends().into_iter().filter_map(batch).collect()
+}
+
+/// Hands over all that two directories send each other, until nothing is left.
+pub fn converse(
+    now: Millis,
+    left: &mut Directory,
+    left_node: NodeId,
+    right: &mut Directory,
+    right_node: NodeId,
+) {
+    for _ in 0..20 {
+        hand_over(now, left, left_node, right, right_node);
+        hand_over(now, right, right_node, left, left_node);
+    }
+}
+
+pub fn hand_over(now: Millis, from: &mut Directory, from_node: NodeId, to: &mut Directory, to_node: NodeId) {
+    for (receiver, message) in from.take_sends() {
+        if receiver != to_node {
+            continue;
+        }
+        match message {
+            DirectoryMessage::Batch { batch, records } => {
+                let acknowledged = to.merge(now, from_node, batch, records);
+                from.acknowledge(now, to_node, acknowledged);
+            }
+            DirectoryMessage::Digest { servers } => to.receive_digest(now, from_node, servers),
+            DirectoryMessage::Ask { servers } => to.receive_ask(now, from_node, servers),
+        }
+    }
+}
--- a/cluster/tests/membership.rs
+++ b/cluster/tests/membership.rs
@@ -268,3 +268,65 @@
     assert!(!membership.heard_within(PEER, 10, 1000));
     assert_eq!(membership.state(PEER), Some(MemberState::Alive));
 }
+
+/// A member that answered a ping at 0 and none since.
+fn with_one_that_went_quiet() -> Membership {
+    let mut membership = alone(&[]);
+    membership.receive(0, PEER, ping(vec![member(PEER, 21, 0, MemberState::Alive)]));
+    membership.tick(0);
+    answer_all(&mut membership, 0);
+    membership
+}
+
+/// Lets the peer answer all pings that wait to be sent.
+fn answer_all(membership: &mut Membership, now: Millis) {
+    for (to, message) in membership.take_sends() {
+        if let (PEER, MembershipMessage::Ping { number, .. }) = (to, message) {
+            membership.receive(now, PEER, MembershipMessage::Pong { number, members: vec![] });
+        }
+    }
+}
+
+#[test]
+fn given_a_member_that_went_quiet_when_this_node_stood_still_then_it_is_not_suspected_at_once() {
+    let mut membership = with_one_that_went_quiet();
+    [200, 400, 600].into_iter().for_each(|now| membership.tick(now));
+    membership.tick(20_000);
+    assert_eq!(membership.state(PEER), Some(MemberState::Alive));
+    run_idle(&mut membership, 20_000, 20_800);
+    assert_eq!(membership.state(PEER), Some(MemberState::Suspect));
+}
+
+#[test]
+fn given_a_suspicion_when_this_node_stood_still_then_the_member_is_not_absent_at_once() {
+    let mut membership = with_one_that_went_quiet();
+    run_idle(&mut membership, 200, 1000);
+    assert_eq!(membership.state(PEER), Some(MemberState::Suspect));
+    membership.tick(20_000);
+    assert_eq!(membership.state(PEER), Some(MemberState::Suspect));
+    run_idle(&mut membership, 20_000, 21_300);
+    assert_eq!(membership.state(PEER), Some(MemberState::Absent));
+}
+
+#[test]
+fn given_a_suspicion_that_was_refuted_elsewhere_when_this_node_hears_nothing_then_it_waits_before_the_next() {
+    let mut membership = with_one_that_went_quiet();
+    run_idle(&mut membership, 200, 1000);
+    assert_eq!(membership.state(PEER), Some(MemberState::Suspect));
+    membership.receive(1000, NodeId(3), ping(vec![member(PEER, 21, 1, MemberState::Alive)]));
+    run_idle(&mut membership, 1000, 3800);
+    assert_eq!(membership.state(PEER), Some(MemberState::Alive));
+    run_idle(&mut membership, 3800, 4600);
+    assert_eq!(membership.state(PEER), Some(MemberState::Suspect));
+}
+
+#[test]
+fn given_a_suspicion_of_others_when_this_node_hears_the_member_itself_then_it_is_not_absent_here() {
+    let mut membership = with_one_that_went_quiet();
+    membership.receive(100, NodeId(3), ping(vec![member(PEER, 21, 0, MemberState::Suspect)]));
+    for now in (200..5000).step_by(200) {
+        membership.tick(now);
+        answer_all(&mut membership, now);
+    }
+    assert_eq!(membership.state(PEER), Some(MemberState::Suspect));
+}
--- a/coordinator/src/core/orders.rs
+++ b/coordinator/src/core/orders.rs
@@ -224,7 +224,7 @@
         let Some(fence) = self.leaderships.get(&shard).map(|leadership| leadership.term) else { return };
         let Some(planner) = self.planners.get(service) else { return };
         let of_service = directory.records().filter(|record| record.heartbeat.service == service);
-        let changed = of_service.filter_map(|record| Some((record.id.clone(), contents_note(planner, record, fence)?)));
+        let changed = of_service.filter_map(|record| Some((record.id.clone(), contents_note(now, planner, record, fence)?)));
         let notes: Vec<(ServerId, PlacementNote)> = changed.collect();
         for (server, note) in notes {
             directory.set_note(now, &server, note);
@@ -277,8 +277,8 @@
 }
 
 /// The note that a server's record needs, if it is not the one that it has.
-fn contents_note(planner: &Planner, record: &ServerRecord, fence: u64) -> Option<PlacementNote> {
-    let served = planner.served(&record.id)?;
+fn contents_note(now: Millis, planner: &Planner, record: &ServerRecord, fence: u64) -> Option<PlacementNote> {
+    let served = planner.served(now, &record.id)?;
     let said = record.heartbeat.models.as_deref()?;
     let adding = beyond(&served, said);
     let mut dropping = beyond(said, &served);
--- a/daemon/tests/command.rs
+++ b/daemon/tests/command.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{end_of, folder, run, settings_file, shaletrail, PATH_VARIABLE};
+use common::{end_of, folder, settings_file, shaletrail, Ended, PATH_VARIABLE};
 
 /// What both roles need.
 const COMMON: &str = "\
@@ -13,6 +13,10 @@
 seedNodes=127.0.0.1:8146
 ";
 
+fn run(arguments: &[&str]) -> Ended {
+    end_of(shaletrail(arguments))
+}
+
 #[test]
 fn given_no_settings_when_help_is_asked_for_then_all_roles_are_listed() {
     let ended = run(&["--help"]);
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -1,14 +1,10 @@
 //! Running the binary, and settings files for it.
 
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::mpsc::{channel, RecvTimeoutError};
-use std::time::Duration;
+use std::process::{Command, Stdio};
 
 /// The variable that holds the settings file's path.
 pub const PATH_VARIABLE: &str = "SHALETRAIL_BOOT";
-/// How long a process may take for anything that a test waits for. Nothing waits for as long that goes well.
-pub const PATIENCE: Duration = Duration::from_secs(30);
 
 /// How a process ended, and what it wrote.
 #[derive(Debug)]
@@ -25,11 +21,6 @@
     command
 }
 
-/// Runs the binary to its end.
-pub fn run(arguments: &[&str]) -> Ended {
-    end_of(shaletrail(arguments))
-}
-
 /// Runs a command to its end.
 pub fn end_of(mut command: Command) -> Ended {
     let output = command.output().expect("the binary starts");
@@ -54,44 +45,3 @@
     std::fs::write(&path, text).expect("the tests' folder can be written");
     path.to_str().expect("a path in UTF-8").to_owned()
 }
-
-/// A loopback address that only this process's tests use, so that fixed ports on it are free. `number` tells the
-/// tests apart.
-pub fn loopback(number: u8) -> String {
-    let process = std::process::id();
-    format!("127.{}.{}.{number}", 100 + (process >> 8) % 100, process % 256)
-}
-
-/// A process that is killed where a test ends before it.
-pub struct Running(pub Child);
-
-impl Running {
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args(["-s", name, &self.0.id().to_string()]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "SIG{name} could not be sent");
-    }
-
-    /// Waits for its end.
-    pub fn wait(mut self) -> ExitStatus {
-        let (ended, waiting) = channel::<()>();
-        let id = self.0.id().to_string();
-        // Kills the process, and so ends the wait below, if it lasts too long.
-        let guard = std::thread::spawn(move || {
-            if waiting.recv_timeout(PATIENCE) == Err(RecvTimeoutError::Timeout) {
-                let _ = Command::new("kill").args(["-s", "KILL", &id]).status();
-            }
-        });
-        let status = self.0.wait().expect("a child can be waited for");
-        drop(ended);
-        guard.join().expect("the guard does not panic");
-        status
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
--- a/daemon/tests/roles.rs
+++ b/daemon/tests/roles.rs
@@ -4,13 +4,57 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
-use std::process::Stdio;
-use std::sync::mpsc::{channel, Receiver};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
+use std::time::Duration;
 
-use common::{end_of, folder, loopback, settings_file, shaletrail, Running, PATIENCE};
+use common::{end_of, folder, settings_file, shaletrail};
 
 const CONTROL_PORT: u16 = 8146;
 const INGRESS_PORT: u16 = 8144;
+/// How long a process may take for anything that a test waits for. Nothing waits for as long that goes well.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A loopback address that only this process's tests use, so that fixed ports on it are free. `number` tells the
+/// tests apart.
+fn loopback(number: u8) -> String {
+    let process = std::process::id();
+    format!("127.{}.{}.{number}", 100 + (process >> 8) % 100, process % 256)
+}
+
+/// A process that is killed where a test ends before it.
+struct Running(Child);
+
+impl Running {
+    /// Sends a signal by its name.
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args(["-s", name, &self.0.id().to_string()]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "SIG{name} could not be sent");
+    }
+
+    /// Waits for its end.
+    fn wait(mut self) -> ExitStatus {
+        let (ended, waiting) = channel::<()>();
+        let id = self.0.id().to_string();
+        // Kills the process, and so ends the wait below, if it lasts too long.
+        let guard = std::thread::spawn(move || {
+            if waiting.recv_timeout(PATIENCE) == Err(RecvTimeoutError::Timeout) {
+                let _ = Command::new("kill").args(["-s", "KILL", &id]).status();
+            }
+        });
+        let status = self.0.wait().expect("a child can be waited for");
+        drop(ended);
+        guard.join().expect("the guard does not panic");
+        status
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
 
 fn coordinator_settings(ip: &str, data_dir: &str) -> String {
     format!(
@@ -62,6 +106,7 @@
 
     assert_eq!(ended.code, Some(1), "{ended:?}");
     assert!(ended.stderr.contains(&format!("listening on {ip}:{INGRESS_PORT}")), "{}", ended.stderr);
+    assert_eq!(ended.stdout, "", "logs go to standard error");
 }
 
 #[test]
@@ -77,11 +122,12 @@
 
     assert_eq!(ended.code, Some(1), "{ended:?}");
     assert!(ended.stderr.contains(&format!("listener on {ip}:{CONTROL_PORT}")), "{}", ended.stderr);
+    assert_eq!(ended.stdout, "", "logs go to standard error");
     std::fs::remove_dir_all(folder).expect("the tests' folder can be removed");
 }
 
 #[test]
-fn given_the_only_coordinator_when_it_starts_then_it_leads_all_shards_and_sigterm_ends_it_with_0() {
+fn given_the_only_coordinator_when_it_starts_then_it_leads_the_configuration_and_sigterm_ends_it_with_0() {
     let ip = loopback(3);
     let folder = folder("only-coordinator");
     let data = folder.join("data");
--- a/placement/src/choice.rs
+++ b/placement/src/choice.rs
@@ -29,7 +29,7 @@
 
 /// What it costs to drop a model, the cheapest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Loss {
+pub enum Loss {
     /// Nothing has to go.
     Nothing,
     /// The configuration no longer names it.
@@ -49,7 +49,7 @@
 }
 
 /// How dear a place is: what is lost, how long it was idle (longest first).
-type Price = (Loss, u64);
+pub type Price = (Loss, u64);
 
 /// Everything that a choice looks at.
 pub struct Scene<'a> {
@@ -157,6 +157,11 @@
         victims.first().filter(|_| enough).map(|(_, victim)| *victim)
     }
 
+    /// The model that is missed least on a server, if it may go with no other to take its place.
+    pub fn cheapest(&self, key: ServerKey, server: &Server, tally: &Tally) -> Option<(Price, ModelId)> {
+        self.victims(key, server, Urgency::Overloaded, tally).into_iter().next()
+    }
+
     /// Models that may be dropped on a server, the cheapest first.
     fn victims(
         &self,
--- a/placement/src/demand.rs
+++ b/placement/src/demand.rs
@@ -76,6 +76,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Sources {
     gauges: BTreeMap<NodeId, (Millis, Vec<Gauge>)>,
+    known_since: Option<Millis>,
 }
 
 impl Sources {
@@ -101,6 +102,9 @@
             }
         }
         let asked = !gauges.is_empty();
+        if asked {
+            self.known_since.get_or_insert(now);
+        }
         let former = self.gauges.insert(source, (now, gauges)).map(|(_, gauges)| gauges).unwrap_or_default();
         former.iter().for_each(|gauge| change(gauge, false, models));
         if let Some((_, gauges)) = self.gauges.get(&source) {
@@ -109,6 +113,11 @@
         asked
     }
 
+    /// When something was first asked for.
+    pub fn known_since(&self) -> Option<Millis> {
+        self.known_since
+    }
+
     /// Drops what sources said that have fallen silent.
     pub fn lapse(&mut self, now: Millis, models: &mut ModelTable) {
         self.gauges.retain(|_, (at, gauges)| {
--- a/placement/src/planner.rs
+++ b/placement/src/planner.rs
@@ -268,14 +268,18 @@
     }
 
     /// What a server serves now and is not about to drop, in order of names; `None` where that is in doubt. Knows of
-    /// orders before the server's next heartbeat does.
-    pub fn served(&self, id: &ServerId) -> Option<Vec<HeldModel>> {
+    /// orders before the server's next heartbeat does, and counts a load as done by the time that it should take: a
+    /// server that takes longer turns requests away, which have not run then.
+    pub fn served(&self, now: Millis, id: &ServerId) -> Option<Vec<HeldModel>> {
         let server = self.keys.get(id).and_then(|key| self.servers.get(key))?;
         if server.doubt.is_some() {
             return None;
         }
         let held = server.holding.models().filter(|model| server.serves(Item { model: *model, adapter: None }));
-        let mut served: Vec<HeldModel> = held.filter_map(|model| self.served_model(server, model)).collect();
+        let loaded = server.in_flight.as_ref().filter(|order| order.is_likely_loaded(now));
+        let loaded = loaded.filter(|order| !server.holding.has(order.item) && order.item.adapter.is_none());
+        let models = held.chain(loaded.map(|order| order.item.model));
+        let mut served: Vec<HeldModel> = models.filter_map(|model| self.served_model(server, model)).collect();
         served.sort_by(|one, other| one.name.cmp(&other.name));
         Some(served)
     }
--- a/placement/src/rounds.rs
+++ b/placement/src/rounds.rs
@@ -20,17 +20,17 @@
 struct LoadBudget {
     /// Orders that the rate allows.
     rate: usize,
-    /// Loads that fit beside those under way.
-    at_once: usize,
+    /// Loads that fit beside those under way; below 0 where more are under way.
+    at_once: isize,
     /// The parts of both that only urgent loads may use.
     spare_rate: usize,
-    spare_at_once: usize,
+    spare_at_once: isize,
 }
 
 impl LoadBudget {
     fn allows(&self, urgency: Urgency) -> bool {
         match urgency {
-            Urgency::Waiting => self.rate > 0 && self.at_once > 0,
+            Urgency::Waiting => self.rate > 0 && self.at_once > -URGENT_BEYOND,
             Urgency::Overloaded | Urgency::Absent => {
                 self.rate > self.spare_rate && self.at_once > self.spare_at_once
             }
@@ -39,10 +39,18 @@
 
     fn take(&mut self) {
         self.rate = self.rate.saturating_sub(1);
-        self.at_once = self.at_once.saturating_sub(1);
+        self.at_once -= 1;
     }
 }
 
+/// Loads for models with waiting requests that may be under way beyond those that the store serves at full speed.
+const URGENT_BEYOND: isize = 2;
+/// Servers for each of which one should have room for another model, so that an urgent load need not wait for an
+/// eviction.
+const SERVERS_PER_SPARE: usize = 6;
+/// Demand must have been known for so long before room is made ahead of need, in milliseconds.
+const SPARE_AFTER: Millis = 3_000;
+
 /// What a reserved server does next.
 enum Step {
     Load { item: Item, from_origin: bool },
@@ -69,9 +77,37 @@
         self.reserve(now);
         let mut orders = self.carry_out_reservations(now);
         orders.extend(self.adapter_orders(now));
+        orders.extend(self.make_room_ahead(now));
         orders
     }
 
+    /// Drops a model that nobody has asked for lately where too few servers have room for another one.
+    fn make_room_ahead(&mut self, now: Millis) -> Option<PlannedOrder> {
+        let since = self.sources.known_since()?;
+        if self.short || now.saturating_sub(since) < SPARE_AFTER {
+            return None;
+        }
+        let tally = self.tally();
+        let scene = self.scene(now, &tally);
+        let ready: Vec<_> = self.servers.iter().filter(|(_, server)| server.is_ready()).collect();
+        let largest = self.catalogue.largest_mb();
+        let has_room = |server: &Server| {
+            let evicts = server.in_flight.as_ref().is_some_and(|order| order.is_model(Operation::Evict));
+            evicts || server.used_mb(&self.models) + largest <= self.catalogue.weights_mb
+        };
+        let spare = ready.iter().filter(|(_, server)| has_room(server)).count();
+        if spare >= ready.len() / SERVERS_PER_SPARE {
+            return None;
+        }
+        let free = ready.iter().filter(|(_, server)| server.takes_orders(now) && server.reserved.is_none());
+        let victims = free.filter(|(_, server)| !has_room(server)).filter_map(|(key, server)| {
+            let (price, model) = scene.cheapest(**key, server, &tally)?;
+            Some((price, **key, model))
+        });
+        let (_, key, model) = victims.min()?;
+        self.send(now, key, Operation::Evict, Item { model, adapter: None }, false)
+    }
+
     fn tally(&self) -> Tally {
         Tally::count(self.models.len(), self.servers.values())
     }
@@ -179,16 +215,16 @@
         let spare = self.origin.limit() as f64 * self.options.urgent_share.clamp(0.0, 1.0);
         LoadBudget {
             rate: self.origin.available(now).saturating_sub(reserved),
-            at_once: at_once.saturating_sub(reserved + self.loads_under_way()),
+            at_once: at_once as isize - (reserved + self.loads_under_way(now)) as isize,
             spare_rate: spare as usize,
-            spare_at_once: usize::from(at_once >= SPARE_FROM),
+            spare_at_once: isize::from(at_once >= SPARE_FROM),
         }
     }
 
-    /// Loads from the weight store that are not known to be over.
-    fn loads_under_way(&self) -> usize {
+    /// Loads from the weight store that are likely not over.
+    fn loads_under_way(&self, now: Millis) -> usize {
         let orders = self.servers.values().filter_map(|server| server.in_flight.as_ref());
-        orders.filter(|order| order.origin.is_some()).count()
+        orders.filter(|order| order.origin.is_some() && !order.is_likely_loaded(now)).count()
     }
 
     /// The next order of each server that is reserved: what gives way goes, then the model is loaded.
@@ -198,14 +234,15 @@
         }
         let mut tally = self.tally();
         let mut rate = self.origin.available(now);
-        let mut at_once = self.catalogue.loads_at_once().saturating_sub(self.loads_under_way());
+        let mut at_once = self.catalogue.loads_at_once() as isize - self.loads_under_way(now) as isize;
         let scene = self.scene(now, &tally);
         let mut steps = Vec::new();
         for (key, server) in self.servers.iter().filter(|(_, server)| server.takes_orders(now)) {
             let Some(place) = server.reserved else { continue };
             let step = next_step(&scene, *key, server, &place, &tally);
             if let Step::Load { from_origin: true, .. } = step {
-                if rate == 0 || at_once == 0 {
+                let beyond = if place.urgency == Urgency::Waiting { URGENT_BEYOND } else { 0 };
+                if rate == 0 || at_once <= -beyond {
                     continue;
                 }
                 (rate, at_once) = (rate - 1, at_once - 1);
@@ -249,6 +286,9 @@
         from_origin: bool,
     ) -> Option<PlannedOrder> {
         let spec = &self.models.get(item.model)?.spec;
+        // Too many loads slow each other in proportion.
+        let crowding = (self.loads_under_way(now) + 1) as f64 / self.catalogue.loads_at_once() as f64;
+        let load_time_s = spec.load_time_s * crowding.max(1.0);
         let server = self.servers.get_mut(&key)?;
         let origin = from_origin.then(|| self.origin.order(now));
         match (operation, item.adapter) {
@@ -257,7 +297,7 @@
             (Operation::Load, None) if from_origin => self.figures.loads += 1,
             (Operation::Load, None) => self.figures.disk_loads += 1,
         }
-        server.order(InFlight::new(operation, item, now, origin, spec.load_time_s));
+        server.order(InFlight::new(operation, item, now, origin, load_time_s));
         Some(PlannedOrder {
             server: server.id.clone(),
             address: server.address.clone(),
--- a/placement/src/server.rs
+++ b/placement/src/server.rs
@@ -13,6 +13,8 @@
 
 /// How old the values of a report may be, in milliseconds.
 pub const REPORT_LAG: Millis = 500;
+/// A load counts as likely done this long after the time that it should take, in milliseconds.
+const LOADED_MARGIN: Millis = 20;
 /// When a report shows the end of an order that takes no time, in milliseconds after its answer.
 const REPORT_SOON: Millis = 250;
 /// An adapter is there within this time after the order was taken, in milliseconds.
@@ -65,6 +67,12 @@
         InFlight { operation, item, sent, accepted: None, origin, takes }
     }
 
+    /// Whether it is a load that is likely done, by the time that it should take.
+    pub fn is_likely_loaded(&self, now: Millis) -> bool {
+        let done = |accepted: Millis| now >= accepted + self.takes + LOADED_MARGIN;
+        self.operation == Operation::Load && self.accepted.is_some_and(done)
+    }
+
     /// Whether it loads or evicts a model as a whole.
     pub fn is_model(&self, operation: Operation) -> bool {
         self.operation == operation && self.item.adapter.is_none()
--- a/routing/src/choice.rs
+++ b/routing/src/choice.rs
@@ -23,6 +23,8 @@
     pub wanted: &'a Wanted,
     /// Servers that it has been sent to.
     pub tried: &'a [ServerHandle],
+    /// The only servers that it may be sent to, where it may be sent to no further one.
+    pub only: Option<&'a [ServerHandle]>,
     /// Connections to one server that this edge may hold.
     pub connections: u32,
 }
--- a/routing/src/options.rs
+++ b/routing/src/options.rs
@@ -97,7 +97,7 @@
             full_min_ms: 100,
             full_max_ms: 300,
             again_ms: 50,
-            lacks_ms: 1000,
+            lacks_ms: 200,
             suspect_after: 2,
             backoff_first_ms: 500,
             backoff_longest_ms: 5000,
--- a/routing/src/placing.rs
+++ b/routing/src/placing.rs
@@ -12,6 +12,8 @@
 use crate::requests::{Held, Out, Phase, Request};
 use crate::router::{Otherwise, Router};
 
+/// Times that a request may be sent anew to servers that have it surely not run, beyond its attempts.
+const SAME_AGAIN: u32 = 2;
 /// The highest value of `Priority`.
 const PRIORITY_LAST: u8 = 9;
 /// The shortest `Deadline-Ms`.
@@ -68,10 +70,17 @@
         if request.arrivals == 0 {
             return None;
         }
-        let left = request.arrivals < request.new.route.max_attempts && self.has_repeat(now, &request.wanted);
+        // A server at which it surely has not run may be asked again: that is no further server.
+        let again = request.surely_not_run() && request.arrivals < request.new.route.max_attempts + SAME_AGAIN;
+        let left = (self.may_visit_another(request) || again) && self.has_repeat(now, &request.wanted);
         (!left).then(|| request.reason_to_end())
     }
 
+    /// Whether it may be sent to one more server than it was.
+    fn may_visit_another(&self, request: &Request) -> bool {
+        (request.visited.len() as u32) < request.new.route.max_attempts
+    }
+
     fn has_repeat(&mut self, now: Millis, wanted: &Wanted) -> bool {
         let fleet = self.fleets.get_mut(&wanted.service);
         fleet.is_some_and(|fleet| fleet.budget.has_left(now, self.edges, &self.options))
@@ -81,7 +90,9 @@
     pub(crate) fn find_server(&self, now: Millis, request: &Request) -> Result<Chosen, Unavailable> {
         let Some(fleet) = self.fleets.get(&request.wanted.service) else { return Err(Unavailable::NoServer) };
         let connections = self.connections_share(&request.wanted.service);
-        let ask = Ask { key: request.key, wanted: &request.wanted, tried: &request.tried, connections };
+        let only = (!self.may_visit_another(request)).then_some(request.visited.as_slice());
+        let ask =
+            Ask { key: request.key, wanted: &request.wanted, tried: &request.tried, only, connections };
         choose(fleet, &self.servers, &self.peers, &ask, now, &self.options)
     }
 
@@ -120,6 +131,9 @@
         request.sendings += 1;
         request.arrivals += 1;
         request.tried.push(chosen.server);
+        if !request.visited.contains(&chosen.server) {
+            request.visited.push(chosen.server);
+        }
         let left = request.deadline_at.saturating_sub(now).saturating_sub(self.options.way_back_ms);
         actions.push(Action::Send {
             request: request.id(),
--- a/routing/src/requests.rs
+++ b/routing/src/requests.rs
@@ -31,6 +31,8 @@
     pub arrivals: u32,
     /// Servers that it was sent to.
     pub tried: Vec<ServerHandle>,
+    /// Servers at which it arrived, or may have, each once.
+    pub visited: Vec<ServerHandle>,
     /// While it waits: when servers that it was sent to may be asked again.
     pub not_before: Millis,
     /// The client has the head of a server's answer.
@@ -54,6 +56,7 @@
             sendings: 0,
             arrivals: 0,
             tried: Vec::new(),
+            visited: Vec::new(),
             not_before: 0,
             head_passed: false,
             last_event: None,
--- /dev/null
+++ b/simulation/src/checks.rs
@@ -0,0 +1,290 @@
+//! The rules, over what was seen from outside.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use shaletrail_protocol::{Incarnation, Millis, NodeId, ServerId};
+
+use crate::operator::version_of;
+use crate::site;
+use crate::witness::{OrderSeen, Outcome, Witness};
+
+/// Loads allowed in a window beyond the store's rate.
+const LOADS_BEYOND: f64 = 3.0;
+/// Orders that arrive so soon after their sender was thawed or a link was joined don't count, in milliseconds.
+const FREEZE_SLACK: Millis = 300;
+
+/// Bounds of the rules.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// `drainMs`.
+    pub drain: Millis,
+    /// `leaseMs`.
+    pub lease: Millis,
+    /// `originWindowS`, in milliseconds.
+    pub origin_window: Millis,
+    /// `originOvershoot`.
+    pub origin_overshoot: f64,
+    /// `loadPerS`.
+    pub load_per_s: f64,
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Violation {
+    /// Two changes on one version were both acknowledged.
+    BothAcknowledged {
+        /// The version.
+        base: u64,
+        /// The changes.
+        changes: Vec<u64>,
+    },
+    /// A change was refused after it had been acknowledged, or is in force though it was refused.
+    RefusedThoughTaken {
+        /// The change.
+        change: u64,
+    },
+    /// A read that began after an acknowledgement does not know it.
+    StaleRead {
+        /// When it began.
+        begun: Millis,
+        /// The version that was read.
+        read: u64,
+        /// The version that had been acknowledged.
+        acknowledged: u64,
+    },
+    /// What was read back is not what was sent.
+    DiffersFromSent {
+        /// The version.
+        version: u64,
+    },
+    /// One version is two configurations.
+    TwoOfOneVersion {
+        /// The version.
+        version: u64,
+    },
+    /// An edge went back.
+    WentBack {
+        /// The edge.
+        edge: NodeId,
+        /// From this version.
+        from: u64,
+        /// To this version.
+        to: u64,
+    },
+    /// A request was sent to a server that had long said that it leaves.
+    SentToDraining {
+        /// The server.
+        server: ServerId,
+        /// When it had its acknowledgement.
+        acknowledged: Millis,
+        /// When the request was sent.
+        sent: Millis,
+        /// From which edge.
+        edge: NodeId,
+    },
+    /// A request ran more often than it may.
+    RanTwice {
+        /// The request.
+        request: u64,
+    },
+    /// A request was sent again although it may have run.
+    SentAgain {
+        /// The request.
+        request: u64,
+    },
+    /// A request was refused with a promise, and ran.
+    RanThoughRefused {
+        /// The request.
+        request: u64,
+    },
+    /// A fence fell, or two holders have the same.
+    Fences {
+        /// The earlier order.
+        before: OrderSeen,
+        /// The later one.
+        after: OrderSeen,
+    },
+    /// Holders took turns too fast.
+    Turns {
+        /// The earlier order.
+        before: OrderSeen,
+        /// The later one.
+        after: OrderSeen,
+    },
+    /// Too many loads from the store began in a window.
+    Ceiling {
+        /// When the window ends.
+        at: Millis,
+        /// How many.
+        loads: usize,
+    },
+    /// A server was ordered to load beyond its room.
+    Overflow {
+        /// When.
+        at: Millis,
+        /// The server.
+        server: ServerId,
+        /// What it would hold.
+        what: String,
+    },
+}
+
+impl PartialEq for OrderSeen {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, &self.server, self.token) == (other.at, &other.server, other.token)
+    }
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self, formatter)
+    }
+}
+
+/// All rules that were broken.
+pub fn violations(witness: &Witness, bounds: &Bounds) -> Vec<Violation> {
+    let mut found = configuration(witness);
+    found.extend(edges(witness));
+    found.extend(drains(witness, bounds));
+    found.extend(requests(witness));
+    found.extend(orders(witness, bounds));
+    found.extend(loads(witness, bounds));
+    found
+}
+
+fn configuration(witness: &Witness) -> Vec<Violation> {
+    let mut found = Vec::new();
+    let mut acknowledged: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+    for (number, change) in &witness.changes {
+        if change.acknowledged_at().is_some() {
+            acknowledged.entry(change.base).or_default().push(*number);
+        }
+        let refused = change.outcomes.iter().any(|(_, outcome)| *outcome != Outcome::Acknowledged);
+        let in_force = witness.in_force.iter().any(|seen| seen.change == Some(*number));
+        let read = witness.reads.iter().any(|read| site::marked(&read.document) == Some(*number));
+        if refused && (change.acknowledged_at().is_some() || in_force || read) {
+            found.push(Violation::RefusedThoughTaken { change: *number });
+        }
+    }
+    let twice = acknowledged.into_iter().filter(|(_, changes)| changes.len() > 1);
+    found.extend(twice.map(|(base, changes)| Violation::BothAcknowledged { base, changes }));
+    for read in &witness.reads {
+        let (version, known) = (version_of(&read.document), witness.acknowledged_version(read.begun));
+        if version < known {
+            found.push(Violation::StaleRead { begun: read.begun, read: version, acknowledged: known });
+        }
+        let sent = site::marked(&read.document).and_then(|change| witness.changes.get(&change));
+        if version > 0 && sent.is_none_or(|sent| !same(&sent.document, &read.document)) {
+            found.push(Violation::DiffersFromSent { version });
+        }
+    }
+    found
+}
+
+/// Whether two configurations have the same items, in whichever order.
+fn same(one: &serde_json::Value, other: &serde_json::Value) -> bool {
+    let sorted = |document: &serde_json::Value| {
+        let mut document = document.clone();
+        for list in ["routes", "services"] {
+            if let Some(items) = document.get_mut(list).and_then(serde_json::Value::as_array_mut) {
+                items.sort_by_key(|item| item["name"].to_string());
+            }
+        }
+        document
+    };
+    sorted(one) == sorted(other)
+}
+
+fn edges(witness: &Witness) -> Vec<Violation> {
+    let mut found = Vec::new();
+    let mut newest: BTreeMap<(NodeId, u64), u64> = BTreeMap::new();
+    let mut versions: BTreeMap<u64, Option<u64>> = BTreeMap::new();
+    for seen in &witness.in_force {
+        let Incarnation(incarnation) = seen.incarnation;
+        let before = newest.insert((seen.edge, incarnation), seen.version).unwrap_or_default();
+        if seen.version <= before {
+            found.push(Violation::WentBack { edge: seen.edge, from: before, to: seen.version });
+        }
+        let change = versions.entry(seen.version).or_insert(seen.change);
+        let sent = seen.change.and_then(|change| witness.changes.get(&change));
+        if *change != seen.change || sent.is_none_or(|sent| sent.version != seen.version) {
+            found.push(Violation::TwoOfOneVersion { version: seen.version });
+        }
+    }
+    found
+}
+
+fn drains(witness: &Witness, bounds: &Bounds) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for drained in witness.drains.iter().filter(|drained| drained.in_touch) {
+        let late = witness.sendings.iter().filter(|sending| {
+            sending.server == drained.server && sending.in_touch && sending.at > drained.at + bounds.drain
+        });
+        found.extend(late.map(|sending| Violation::SentToDraining {
+            server: drained.server.clone(),
+            acknowledged: drained.at,
+            sent: sending.at,
+            edge: sending.edge,
+        }));
+    }
+    found
+}
+
+fn requests(witness: &Witness) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for (number, request) in &witness.requests {
+        if request.once && request.runs.len() > 1 {
+            found.push(Violation::RanTwice { request: *number });
+        }
+        // Each sending but one must have been turned away, or have found nobody.
+        let unclear = (request.written as usize).saturating_sub(request.turned_away.len());
+        if request.once && unclear > 1 {
+            found.push(Violation::SentAgain { request: *number });
+        }
+        let promised = matches!(request.answer, Some((_, 408 | 421 | 429 | 503)));
+        if promised && request.once && !request.runs.is_empty() {
+            found.push(Violation::RanThoughRefused { request: *number });
+        }
+    }
+    found
+}
+
+fn orders(witness: &Witness, bounds: &Bounds) -> Vec<Violation> {
+    let mut found = Vec::new();
+    let mut last: BTreeMap<&ServerId, &OrderSeen> = BTreeMap::new();
+    let healed = |order: &OrderSeen| {
+        let moments = witness.healed.get(&order.from).into_iter().flatten();
+        moments.into_iter().any(|at| (*at..=at + FREEZE_SLACK).contains(&order.at))
+    };
+    for order in witness.orders.iter().filter(|order| !healed(order)) {
+        let Some(before) = last.insert(&order.server, order) else { continue };
+        let another = before.holder != order.holder;
+        if order.token < before.token || (another && order.token == before.token) {
+            found.push(Violation::Fences { before: before.clone(), after: order.clone() });
+        }
+        if another && order.at - before.at < bounds.lease {
+            found.push(Violation::Turns { before: before.clone(), after: order.clone() });
+        }
+    }
+    found
+}
+
+fn loads(witness: &Witness, bounds: &Bounds) -> Vec<Violation> {
+    let mut found = Vec::new();
+    let window_s = bounds.origin_window as f64 / 1_000.0;
+    let allowed = bounds.load_per_s * window_s * bounds.origin_overshoot + LOADS_BEYOND;
+    for (at, _) in &witness.loads {
+        let in_window = |other: &&(Millis, String)| other.0 <= *at && other.0 + bounds.origin_window > *at;
+        let count = witness.loads.iter().filter(in_window).count();
+        if count as f64 > allowed {
+            found.push(Violation::Ceiling { at: *at, loads: count });
+        }
+    }
+    found.extend(witness.overflows.iter().map(|(at, server, what)| Violation::Overflow {
+        at: *at,
+        server: server.clone(),
+        what: what.clone(),
+    }));
+    found
+}
--- /dev/null
+++ b/simulation/src/fleet.rs
@@ -0,0 +1,633 @@
+//! The machines of a system, and the passing of time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+use shaletrail_protocol::settings::Settings;
+use shaletrail_protocol::{Millis, NodeId, ServerId};
+
+use crate::checks::{violations, Bounds};
+use crate::coordinator::Coordinator;
+use crate::disk::MachineDisk;
+use crate::edge::Edge;
+use crate::message::{Call, Message};
+use crate::operator::Operator;
+use crate::server::{ModelServer, ServerOptions};
+use crate::site::{self, Models};
+use crate::witness::Ask;
+use crate::world::{Happening, Timer, World};
+
+/// Seeds that a settings file names.
+const SEEDS: usize = 3;
+/// How far the list of operator and servers is behind (`seedLagS`).
+const SEED_LAG: Millis = 3_000;
+/// Between two attempts to open a journal, as in the driver.
+const OPEN_AGAIN: Millis = 100;
+/// `convergenceMs` and `drainMs`.
+const DRAIN: Millis = 2_000;
+/// `leaseMs`.
+const LEASE: Millis = 3_000;
+/// `originWindowS`, in milliseconds.
+const ORIGIN_WINDOW: Millis = 5_000;
+/// `originOvershoot`.
+const ORIGIN_OVERSHOOT: f64 = 1.1;
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Coordinators at the start.
+    pub coordinators: u8,
+    /// Edges.
+    pub edges: u8,
+    /// Servers of the service with models, and which models each holds from its start.
+    pub holds: Vec<Vec<usize>>,
+    /// Servers of the service without models.
+    pub plain_servers: u8,
+    /// Machines that may be lost at once (`hostsLost`).
+    pub hosts_lost: u32,
+    /// Between two heartbeats of a server.
+    pub heartbeat: Millis,
+    /// What servers run.
+    pub models: Models,
+    /// Seed of all luck.
+    pub seed: u64,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        FleetOptions {
+            coordinators: 3,
+            edges: 2,
+            holds: vec![vec![0, 1], vec![0, 2]],
+            plain_servers: 2,
+            hosts_lost: 1,
+            heartbeat: 1_200,
+            models: Models::default(),
+            seed: 1,
+        }
+    }
+}
+
+/// What a machine's process is.
+pub(crate) enum Process {
+    Coordinator(Box<Coordinator>),
+    Edge(Box<Edge>),
+    Server(Box<ModelServer>),
+}
+
+/// Something that waits for a process that is frozen.
+enum Waiting {
+    Message(NodeId, Message),
+    Timer(Timer),
+}
+
+/// A machine.
+#[derive(Default)]
+pub(crate) struct Machine {
+    /// What runs, if anything does.
+    pub(crate) process: Option<Process>,
+    /// What waits while the process is frozen.
+    frozen: Option<Vec<Waiting>>,
+}
+
+/// The machines of a system, and all that happens to them.
+pub struct Fleet {
+    /// Clock, luck, network and witness.
+    pub world: World,
+    /// The operator.
+    pub operator: Operator,
+    pub(crate) options: FleetOptions,
+    pub(crate) machines: BTreeMap<NodeId, Machine>,
+    pub(crate) disks: BTreeMap<NodeId, MachineDisk>,
+    pub(crate) seeds: BTreeMap<NodeId, Vec<NodeId>>,
+    /// Models on the disks of machines of servers.
+    pub(crate) model_disks: BTreeMap<NodeId, BTreeSet<String>>,
+    /// Coordinators that have never been started, while the whole system starts for the first time.
+    pub(crate) bootstrap: BTreeSet<NodeId>,
+    /// Coordinators that serve, as the operator's list has had them from each moment on.
+    lists: Vec<(Millis, Vec<NodeId>)>,
+}
+
+impl Fleet {
+    /// Machines that have not been started.
+    pub fn new(options: FleetOptions) -> Self {
+        let mut fleet = Fleet {
+            world: World::new(options.seed),
+            operator: Operator::new(options.models.clone()),
+            machines: BTreeMap::new(),
+            disks: BTreeMap::new(),
+            seeds: BTreeMap::new(),
+            model_disks: BTreeMap::new(),
+            bootstrap: BTreeSet::new(),
+            lists: Vec::new(),
+            options,
+        };
+        let nodes: Vec<NodeId> = (0..fleet.options.coordinators).map(site::coordinator).collect();
+        for node in &nodes {
+            fleet.add_coordinator(*node);
+            fleet.bootstrap.insert(*node);
+        }
+        fleet.lists = vec![(0, nodes.clone())];
+        let seeds: Vec<NodeId> = nodes.into_iter().take(SEEDS).collect();
+        let edges = (0..fleet.options.edges).map(site::edge);
+        for node in (0..fleet.options.coordinators).map(site::coordinator).chain(edges) {
+            fleet.seeds.insert(node, seeds.clone());
+        }
+        fleet
+    }
+
+    /// A fleet whose first configuration is in force at all edges, and which knows its servers.
+    ///
+    /// # Panics
+    /// It doesn't come to that within ten seconds.
+    pub fn ready(options: FleetOptions) -> Self {
+        let mut fleet = Fleet::new(options);
+        fleet.start_all();
+        let first = fleet.replace();
+        assert!(fleet.run_until(6_000, |fleet| fleet.is_in_force(first)), "{}", fleet.describe());
+        let servers = fleet.servers().len();
+        let known = |fleet: &Fleet| fleet.knowing_edges(servers) == fleet.options.edges as usize;
+        assert!(fleet.run_until(6_000, known), "servers are not known\n{}", fleet.describe());
+        fleet.run(crate::touch::CONTACT);
+        fleet
+    }
+
+    /// Starts everything for the first time, within 300 ms.
+    pub fn start_all(&mut self) {
+        let coordinators = (0..self.options.coordinators).map(site::coordinator);
+        let edges = (0..self.options.edges).map(site::edge);
+        for node in coordinators.chain(edges) {
+            let at = self.world.now + self.world.between(0..=300);
+            self.world.at(at, Happening::Start(node));
+        }
+        self.run(300);
+        self.start_servers();
+    }
+
+    /// Starts the model servers that the fleet begins with.
+    pub fn start_servers(&mut self) {
+        let holds = self.options.holds.clone();
+        let mut number = 0;
+        for holds in holds {
+            self.start_server(site::server(number), site::LLM, holds);
+            number += 1;
+        }
+        for _ in 0..self.options.plain_servers {
+            self.start_server(site::server(number), site::WEB, Vec::new());
+            number += 1;
+        }
+    }
+
+    pub(crate) fn add_coordinator(&mut self, node: NodeId) {
+        let seed = self.options.seed.wrapping_mul(31).wrapping_add(u64::from(node.0));
+        self.disks.insert(node, MachineDisk::new(seed));
+        self.world.touch.set_core(node, true);
+    }
+
+    /// Starts a model server at a machine.
+    pub fn start_server(&mut self, node: NodeId, service: &str, holds: Vec<usize>) -> ServerId {
+        let options = ServerOptions {
+            service: service.to_owned(),
+            models: self.options.models.clone(),
+            heartbeat: self.options.heartbeat,
+            drain: DRAIN,
+            holds,
+        };
+        let disk = self.model_disks.remove(&node).unwrap_or_default();
+        self.world.begin_start(node);
+        let server = ModelServer::start(node, options, disk, &mut self.world);
+        let id = server.id().clone();
+        self.machines.entry(node).or_default().process = Some(Process::Server(Box::new(server)));
+        id
+    }
+
+    /// Starts a coordinator's or an edge's process, at a machine where none runs.
+    pub fn start(&mut self, node: NodeId) {
+        if self.is_running(node) {
+            return;
+        }
+        let settings = self.settings(node);
+        self.world.begin_start(node);
+        self.world.network.set_power(node, true);
+        let process = match self.disks.get(&node) {
+            Some(disk) => match Coordinator::start(&settings, &mut self.world, disk) {
+                Ok(coordinator) => Process::Coordinator(Box::new(coordinator)),
+                // The disk refuses at present.
+                Err(_) => return self.world.at(self.world.now + OPEN_AGAIN, Happening::Start(node)),
+            },
+            None => Process::Edge(Box::new(Edge::start(&settings, &mut self.world))),
+        };
+        self.bootstrap.remove(&node);
+        self.machines.entry(node).or_default().process = Some(process);
+        self.world.touch.set_running(self.world.now, node, true);
+    }
+
+    /// The settings file of a machine, as it stands now.
+    fn settings(&self, node: NodeId) -> Settings {
+        let seeds = self.seeds.get(&node).cloned().unwrap_or_default();
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:8146")).collect();
+        let text = format!(
+            "nodeName=node-{node}\nip={node}\nzone=a\nephemeralPorts=7660,7675\nseedNodes={}\nbootstrap={}\n\
+             countsForQuorum={}\nheartbeatMs={}\nfaultTolerance.hostsLost={}\nbounds.drainMs={DRAIN}\n\
+             bounds.convergenceMs=2000\nbounds.leaseMs={LEASE}\nbounds.originWindowS={}\n\
+             bounds.originOvershoot={ORIGIN_OVERSHOOT}\nbounds.retryRatio=0.2\nbounds.retrySlack=58\n",
+            seeds.join(","),
+            self.bootstrap.contains(&node),
+            self.disks.contains_key(&node),
+            self.options.heartbeat,
+            self.options.hosts_lost,
+            ORIGIN_WINDOW / 1_000,
+        );
+        text.parse().expect("the settings are read")
+    }
+
+    // ---- Time ------------------------------------------------------------------------------------------
+
+    /// Lets time pass.
+    pub fn run(&mut self, duration: Millis) {
+        self.run_to(self.world.now + duration);
+    }
+
+    fn run_to(&mut self, end: Millis) {
+        while let Some(happening) = self.world.next(end) {
+            self.happen(happening);
+        }
+        self.world.now = end;
+    }
+
+    /// Lets time pass until something holds; false if it doesn't within `limit`.
+    pub fn run_until(&mut self, limit: Millis, holds: impl Fn(&Fleet) -> bool) -> bool {
+        let end = self.world.now + limit;
+        while !holds(self) {
+            let Some(next) = self.world.next_at().filter(|next| *next <= end) else {
+                self.world.now = end;
+                return holds(self);
+            };
+            self.run_to(next);
+        }
+        true
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrival((from, to)) => {
+                let arrivals = self.world.network.take(self.world.now, (from, to));
+                for message in arrivals.messages {
+                    self.deliver(from, to, message);
+                }
+                if let Some(again) = arrivals.again {
+                    self.world.at(again, Happening::Arrival((from, to)));
+                }
+            }
+            Happening::Timer { node, start, timer } => {
+                if self.world.start_of(node) == start {
+                    self.wake(node, timer);
+                }
+            }
+            Happening::Start(node) => self.start(node),
+        }
+    }
+
+    fn deliver(&mut self, from: NodeId, to: NodeId, message: Message) {
+        if to == site::operator() {
+            return self.operator.receive(&mut self.world, message);
+        }
+        let machine = self.machines.entry(to).or_default();
+        if let Some(waiting) = &mut machine.frozen {
+            return waiting.push(Waiting::Message(from, message));
+        }
+        match &mut machine.process {
+            Some(Process::Coordinator(coordinator)) => {
+                if let Some(disk) = self.disks.get(&to) {
+                    coordinator.receive(&mut self.world, disk, from, message);
+                }
+            }
+            Some(Process::Edge(edge)) => edge.receive(&mut self.world, message),
+            Some(Process::Server(server)) => {
+                server.receive(&mut self.world, from, message);
+                self.end_server_if_over(to);
+            }
+            None => {
+                if let Message::Call { number, call } = message {
+                    // A poll's connection was up before: it is reset. Others find nobody.
+                    let accepted = matches!(call, Call::Poll { .. });
+                    self.world.send(to, from, Message::Refused { number, accepted });
+                }
+            }
+        }
+    }
+
+    fn wake(&mut self, node: NodeId, timer: Timer) {
+        if node == site::operator() {
+            let list = self.coordinators_listed();
+            return self.operator.wake(&mut self.world, timer, &list);
+        }
+        let Some(machine) = self.machines.get_mut(&node) else { return };
+        if let Some(waiting) = &mut machine.frozen {
+            return waiting.push(Waiting::Timer(timer));
+        }
+        match &mut machine.process {
+            Some(Process::Coordinator(coordinator)) => {
+                if let Some(disk) = self.disks.get(&node) {
+                    coordinator.wake(&mut self.world, disk, timer);
+                }
+            }
+            Some(Process::Edge(edge)) => {
+                let seeds = self.seeds.get(&node).map(Vec::as_slice).unwrap_or_default();
+                edge.wake(&mut self.world, timer, seeds);
+            }
+            Some(Process::Server(_)) => self.wake_server(node, timer),
+            None => {}
+        }
+    }
+
+    fn wake_server(&mut self, node: NodeId, timer: Timer) {
+        let list = self.coordinators_listed();
+        if let Some(Machine { process: Some(Process::Server(server)), .. }) = self.machines.get_mut(&node) {
+            server.wake(&mut self.world, timer, &list);
+        }
+        self.end_server_if_over(node);
+    }
+
+    fn end_server_if_over(&mut self, node: NodeId) {
+        if self.server(node).is_some_and(ModelServer::has_ended) {
+            self.crash_server(node);
+        }
+    }
+
+    /// No event reaches a machine's process from now on; what comes meanwhile waits.
+    pub(crate) fn set_frozen(&mut self, node: NodeId) {
+        if let Some(machine) = self.machines.get_mut(&node).filter(|machine| machine.process.is_some()) {
+            machine.frozen.get_or_insert_default();
+        }
+    }
+
+    /// What has waited reaches the process now.
+    pub(crate) fn set_thawed(&mut self, node: NodeId) {
+        let waiting = self.machines.get_mut(&node).and_then(|machine| machine.frozen.take());
+        for waiting in waiting.into_iter().flatten() {
+            match waiting {
+                Waiting::Message(from, message) => self.deliver(from, node, message),
+                Waiting::Timer(timer) => self.wake(node, timer),
+            }
+        }
+    }
+
+    // ---- Lists -----------------------------------------------------------------------------------------
+
+    /// The coordinators that operator and servers know of.
+    pub fn coordinators_listed(&self) -> Vec<NodeId> {
+        let then = self.world.now.saturating_sub(SEED_LAG);
+        let known = self.lists.iter().rev().find(|(since, _)| *since <= then).or(self.lists.first());
+        known.map(|(_, nodes)| nodes.clone()).unwrap_or_default()
+    }
+
+    /// The coordinators that serve now, whether they run or not.
+    pub fn coordinators(&self) -> Vec<NodeId> {
+        self.lists.last().map(|(_, nodes)| nodes.clone()).unwrap_or_default()
+    }
+
+    pub(crate) fn set_coordinators(&mut self, nodes: Vec<NodeId>) {
+        self.lists.push((self.world.now, nodes));
+    }
+
+    /// The edges.
+    pub fn edges(&self) -> Vec<NodeId> {
+        (0..self.options.edges).map(site::edge).collect()
+    }
+
+    /// The machines on which model servers run.
+    pub fn servers(&self) -> Vec<NodeId> {
+        let runs = |(_, machine): &(&NodeId, &Machine)| matches!(machine.process, Some(Process::Server(_)));
+        self.machines.iter().filter(runs).map(|(node, _)| *node).collect()
+    }
+
+    /// Whether a process runs at a machine; a frozen one does.
+    pub fn is_running(&self, node: NodeId) -> bool {
+        self.machines.get(&node).is_some_and(|machine| machine.process.is_some())
+    }
+
+    /// Whether the process at a machine is frozen.
+    pub fn is_frozen(&self, node: NodeId) -> bool {
+        self.machines.get(&node).is_some_and(|machine| machine.frozen.is_some())
+    }
+
+    /// The coordinator at a machine, if one runs there.
+    pub fn coordinator(&self, node: NodeId) -> Option<&Coordinator> {
+        match self.machines.get(&node)?.process.as_ref()? {
+            Process::Coordinator(coordinator) => Some(coordinator),
+            _ => None,
+        }
+    }
+
+    /// The edge at a machine, if one runs there.
+    pub fn edge(&self, node: NodeId) -> Option<&Edge> {
+        match self.machines.get(&node)?.process.as_ref()? {
+            Process::Edge(edge) => Some(edge),
+            _ => None,
+        }
+    }
+
+    /// The model server at a machine, if one runs there.
+    pub fn server(&self, node: NodeId) -> Option<&ModelServer> {
+        match self.machines.get(&node)?.process.as_ref()? {
+            Process::Server(server) => Some(server),
+            _ => None,
+        }
+    }
+
+    /// A settings file names other seeds from now on.
+    pub fn set_seeds(&mut self, node: NodeId, seeds: Vec<NodeId>) {
+        self.seeds.insert(node, seeds);
+    }
+
+    /// The machine whose process leads the shard of the configuration, as it sees that itself.
+    pub fn leader(&self) -> Option<NodeId> {
+        self.leader_of(0)
+    }
+
+    /// The machine whose process leads a shard, as it sees that itself: the one with the newest term.
+    pub fn leader_of(&self, shard: u32) -> Option<NodeId> {
+        let leads = |node: &NodeId| {
+            let replica = &self.coordinator(*node)?.core().shards().get(shard)?.replica;
+            replica.is_leader().then(|| (replica.term(), *node))
+        };
+        self.coordinators().iter().filter_map(leads).max().map(|(_, node)| node)
+    }
+
+    /// Waits for a leader of the configuration's shard.
+    ///
+    /// # Panics
+    /// There is none within six seconds.
+    pub fn await_leader(&mut self) -> NodeId {
+        assert!(self.run_until(6_000, |fleet| fleet.leader().is_some()), "no leader\n{}", self.describe());
+        self.leader().expect("a leader")
+    }
+
+    // ---- The operator ----------------------------------------------------------------------------------
+
+    /// The operator replaces the configuration that it knows, and sends that until it is answered. The change.
+    pub fn replace(&mut self) -> u64 {
+        let change = self.write();
+        self.operator.send_change(&mut self.world, change, None);
+        change
+    }
+
+    /// Writes a replacement of the configuration that is known, and doesn't send it.
+    pub fn write(&mut self) -> u64 {
+        let base = self.operator.known_version();
+        let version = base + self.world.between(1..=3);
+        self.operator.write_replacement(&mut self.world, base, version)
+    }
+
+    /// Sends a change, perhaps again, until it is answered.
+    pub fn send(&mut self, change: u64) {
+        self.operator.send_change(&mut self.world, change, None);
+    }
+
+    /// Sends a change to one coordinator only, until it is answered.
+    pub fn send_to(&mut self, node: NodeId, change: u64) {
+        self.operator.send_change(&mut self.world, change, Some(node));
+    }
+
+    /// The operator changes one item of the configuration that it knows.
+    pub fn update(&mut self) -> u64 {
+        let version = self.operator.known_version() + self.world.between(1..=3);
+        let change = self.operator.write_update(&mut self.world, version);
+        self.operator.send_change(&mut self.world, change, None);
+        change
+    }
+
+    /// A change of the operator that is acknowledged.
+    ///
+    /// # Panics
+    /// It isn't within `limit`.
+    pub fn replace_within(&mut self, limit: Millis) -> u64 {
+        let change = self.replace();
+        let acknowledged = self.run_until(limit, |fleet| fleet.world.witness.is_acknowledged(change));
+        assert!(acknowledged, "change {change} is not acknowledged in time\n{}", self.describe());
+        change
+    }
+
+    /// Reads back, and checks that the newest acknowledged change, or a later one, is there.
+    ///
+    /// # Panics
+    /// No answer comes within `limit`.
+    pub fn read_within(&mut self, limit: Millis) -> u64 {
+        let call = self.operator.read(&mut self.world, None);
+        let answered = self.run_until(limit, |fleet| !fleet.operator.waits(call));
+        assert!(answered, "no answer to a read in time\n{}", self.describe());
+        let read = self.world.witness.reads.iter().rev().find(|read| read.call == call);
+        read.and_then(|read| site::marked(&read.document)).unwrap_or_default()
+    }
+
+    /// Whether a change is in force at all edges that run.
+    pub fn is_in_force(&self, change: u64) -> bool {
+        self.edges().iter().filter_map(|node| self.edge(*node)).all(|edge| site::marked_in_view(edge.view()) == Some(change))
+    }
+
+    /// Edges that could send to this many servers at least, as coordinators see them.
+    fn knowing_edges(&self, servers: usize) -> usize {
+        let knows = |node: &&NodeId| {
+            let polled = self.edge(**node).and_then(Edge::polls).and_then(|node| self.coordinator(node));
+            polled.is_some_and(|coordinator| coordinator.core().directory().records().count() >= servers)
+                && self.edge(**node).is_some_and(|edge| edge.router().is_usable(0))
+        };
+        self.edges().iter().filter(knows).count()
+    }
+
+    // ---- Clients ---------------------------------------------------------------------------------------
+
+    /// A client asks at an edge. The request's number.
+    pub fn ask(&mut self, node: NodeId, ask: Ask) -> u64 {
+        let number = self.world.number();
+        let machine = self.machines.get_mut(&node).filter(|machine| machine.frozen.is_none());
+        if let Some(Machine { process: Some(Process::Edge(edge)), .. }) = machine {
+            edge.ask(&mut self.world, number, ask);
+        }
+        number
+    }
+
+    /// A client asks for a model; `path` is one of the site's.
+    pub fn ask_model(&mut self, node: NodeId, path: &str, model: usize, adapter: Option<&str>) -> u64 {
+        let ask = Ask {
+            host: site::HOST.to_owned(),
+            path: format!("{path}x"),
+            model: Some(site::model_name(model)),
+            adapter: adapter.map(str::to_owned),
+            deadline_ms: None,
+        };
+        self.ask(node, ask)
+    }
+
+    /// A client asks for something at the service without models.
+    pub fn ask_plain(&mut self, node: NodeId) -> u64 {
+        let path = format!("{}x", site::PLAIN);
+        self.ask(node, Ask { host: site::HOST.to_owned(), path, ..Ask::default() })
+    }
+
+    /// The status that a request was answered with.
+    pub fn status(&self, request: u64) -> Option<u16> {
+        self.world.witness.requests.get(&request)?.answer.map(|(_, status)| status)
+    }
+
+    // ---- The rules -------------------------------------------------------------------------------------
+
+    /// The bounds that the rules are checked by.
+    pub fn bounds(&self) -> Bounds {
+        Bounds {
+            drain: DRAIN,
+            lease: LEASE,
+            origin_window: ORIGIN_WINDOW,
+            origin_overshoot: ORIGIN_OVERSHOOT,
+            load_per_s: self.options.models.load_per_s,
+        }
+    }
+
+    /// Checks all rules over what was seen.
+    ///
+    /// # Panics
+    /// One is broken.
+    pub fn check(&self) {
+        let found = violations(&self.world.witness, &self.bounds());
+        let lines: Vec<String> = found.iter().map(ToString::to_string).collect();
+        assert!(found.is_empty(), "{}\n{}", lines.join("\n"), self.describe());
+    }
+
+    /// What is known of the fleet, for messages of failed tests.
+    pub fn describe(&self) -> String {
+        let mut lines = vec![format!("seed {} at {}", self.options.seed, self.world.now)];
+        for (at, node, note) in &self.world.witness.notes {
+            lines.push(format!("  {at} {node} {note:?}"));
+        }
+        for (from, to) in self.world.network.cuts() {
+            lines.push(format!("  cut from {from} to {to}"));
+        }
+        for node in self.coordinators() {
+            lines.push(format!("  {node}: {}", self.describe_coordinator(node)));
+        }
+        for node in self.edges() {
+            let edge = self.edge(node);
+            let known = edge.map(|edge| (edge.view().version, edge.polls()));
+            lines.push(format!("  {node}: version and coordinator {known:?}"));
+        }
+        lines.join("\n")
+    }
+
+    fn describe_coordinator(&self, node: NodeId) -> String {
+        let Some(coordinator) = self.coordinator(node) else { return "does not run".to_owned() };
+        let core = coordinator.core();
+        let shard = |number| core.shards().get(number).map(|shard| &shard.replica);
+        let shards = core.shards().numbers().filter_map(shard).map(|replica| {
+            let voters: Vec<Ipv4Addr> = replica.voters().members().map(NodeId::address).collect();
+            format!("{:?} term {} leader {:?} voters {voters:?}", replica.role(), replica.term(), replica.leader())
+        });
+        format!(
+            "version {} in touch {} frozen {}, {}",
+            core.configuration_version(),
+            core.is_in_touch(),
+            self.is_frozen(node),
+            shards.collect::<Vec<_>>().join("; ")
+        )
+    }
+}
--- /dev/null
+++ b/simulation/src/history.rs
@@ -0,0 +1,1 @@
+//! Random histories.
--- a/simulation/src/requests.rs
+++ b/simulation/src/requests.rs
@@ -132,6 +132,7 @@
             adapter: open.ask.adapter.clone(),
         });
         world.send(self.node(), address, Message::Call { number, call });
+        world.witness.written(request.0);
         self.requests.out.insert(number, out);
         self.tell(world, Event::Written(request, attempt));
     }
@@ -160,6 +161,7 @@
         if accepted || pooled {
             self.end(world, &out, Verdict::MayHaveRun, Ending::Lost);
         } else {
+            world.witness.unwritten(out.request.0);
             self.end(world, &out, Verdict::NeverSent, Ending::Unreachable);
         }
     }
--- /dev/null
+++ b/simulation/src/troubles.rs
@@ -0,0 +1,211 @@
+//! What goes wrong with machines, disks and links.
+
+use shaletrail_protocol::{Millis, NodeId};
+use shaletrail_storage::memory::Faults;
+
+use crate::disk::MachineDisk;
+use crate::fleet::{Fleet, Machine, Process};
+use crate::site;
+
+impl Fleet {
+    /// Kills a coordinator's or an edge's process. Its machine goes on: connections are reset, files stay.
+    pub fn kill(&mut self, node: NodeId) {
+        let Some(process) = self.take_process(node) else { return };
+        match (process, self.disks.get(&node)) {
+            (Process::Coordinator(coordinator), Some(disk)) => coordinator.kill(&mut self.world, disk),
+            (Process::Edge(edge), _) => edge.kill(&mut self.world),
+            _ => {}
+        }
+        self.world.touch.set_running(self.world.now, node, false);
+    }
+
+    /// A coordinator's or an edge's machine loses power: nobody is told, and what was not synced may be gone.
+    pub fn lose_power(&mut self, node: NodeId) {
+        let Some(process) = self.take_process(node) else { return };
+        match (process, self.disks.get(&node)) {
+            (Process::Coordinator(coordinator), Some(disk)) => coordinator.lose_power(&mut self.world, disk),
+            _ => {}
+        }
+        self.world.network.set_power(node, false);
+        self.world.touch.set_running(self.world.now, node, false);
+    }
+
+    fn take_process(&mut self, node: NodeId) -> Option<Process> {
+        let machine = self.machines.get_mut(&node)?;
+        let process = machine.process.take()?;
+        *machine = Machine::default();
+        // What it was to be woken for concerns nobody any more.
+        self.world.begin_start(node);
+        Some(process)
+    }
+
+    /// Kills a coordinator's or an edge's process and starts it again at once.
+    pub fn restart(&mut self, node: NodeId) {
+        self.kill(node);
+        self.start(node);
+    }
+
+    /// A machine's disk loses all that it holds. Only while no process runs there.
+    ///
+    /// # Panics
+    /// A process runs there, or there is no such machine.
+    pub fn wipe(&mut self, node: NodeId) {
+        assert!(!self.is_running(node), "the disk of {node} is in use");
+        self.disks[&node].wipe();
+    }
+
+    /// Freezes a process: nothing reaches it, and its clock goes on.
+    pub fn freeze(&mut self, node: NodeId) {
+        self.set_frozen(node);
+        self.world.touch.disturb(self.world.now, node);
+    }
+
+    /// Thaws a process.
+    pub fn thaw(&mut self, node: NodeId) {
+        if self.is_frozen(node) {
+            self.world.touch.disturb(self.world.now, node);
+            self.world.witness.heals(self.world.now, node);
+            self.set_thawed(node);
+        }
+    }
+
+    /// A coordinator is removed for good, and loses its power without a word.
+    pub fn remove_coordinator(&mut self, node: NodeId) {
+        self.lose_power(node);
+        self.world.network.set_power(node, false);
+        self.world.touch.set_core(node, false);
+        let rest = self.coordinators().into_iter().filter(|other| *other != node).collect();
+        self.set_coordinators(rest);
+    }
+
+    /// A coordinator joins, at a new address and with an empty disk. Its seeds are those that serve now.
+    pub fn join_coordinator(&mut self, node: NodeId) {
+        self.add_coordinator(node);
+        let mut serving = self.coordinators();
+        self.seeds.insert(node, serving.iter().copied().take(3).collect());
+        serving.push(node);
+        self.set_coordinators(serving);
+        self.start(node);
+    }
+
+    /// A model server's process ends without a word. Its disk stays.
+    pub fn crash_server(&mut self, node: NodeId) {
+        if let Some(Process::Server(server)) = self.take_process(node) {
+            let disk = server.kill(&mut self.world);
+            self.model_disks.insert(node, disk);
+        }
+    }
+
+    /// A model server leaves as planned, or at short notice.
+    pub fn drain_server(&mut self, node: NodeId, remaining: Option<Millis>) {
+        if let Some(Machine { process: Some(Process::Server(server)), .. }) = self.machines.get_mut(&node) {
+            server.leave(&mut self.world, remaining);
+        }
+    }
+
+    // ---- Links -----------------------------------------------------------------------------------------
+
+    /// Cuts or joins one direction between two machines.
+    pub fn cut_one_way(&mut self, from: NodeId, to: NodeId, cut: bool) {
+        if !self.world.network.set_cut((from, to), cut) {
+            return;
+        }
+        let now = self.world.now;
+        self.world.touch.disturb_link(now, from, to);
+        if !cut {
+            self.world.witness.heals(now, from);
+            self.world.witness.heals(now, to);
+        }
+    }
+
+    /// Cuts or joins two machines, both ways.
+    pub fn cut(&mut self, one: NodeId, other: NodeId, cut: bool) {
+        self.cut_one_way(one, other, cut);
+        self.cut_one_way(other, one, cut);
+    }
+
+    /// Cuts two groups of machines from each other, or joins them.
+    pub fn split(&mut self, some: &[NodeId], others: &[NodeId], cut: bool) {
+        for one in some {
+            for other in others.iter().filter(|other| *other != one) {
+                self.cut(*one, *other, cut);
+            }
+        }
+    }
+
+    /// Joins all links.
+    pub fn join_all(&mut self) {
+        for (from, to) in self.world.network.cuts() {
+            self.cut_one_way(from, to, false);
+        }
+    }
+
+    // ---- Disks -----------------------------------------------------------------------------------------
+
+    /// Sets what a disk refuses.
+    pub fn set_disk_faults(&mut self, node: NodeId, faults: Faults) {
+        self.trouble_disk(node, faults != Faults::default(), |disk| disk.set_faults(faults));
+    }
+
+    /// Has a disk hang, or go on.
+    pub fn set_disk_stalled(&mut self, node: NodeId, stalled: bool) {
+        self.trouble_disk(node, stalled, |disk| disk.stalled = stalled);
+    }
+
+    /// Sets the time that a write with its sync takes.
+    pub fn set_disk_speed(&mut self, node: NodeId, takes: std::ops::RangeInclusive<Millis>) {
+        let slow = *takes.end() > 10;
+        self.trouble_disk(node, slow, |disk| disk.takes = takes);
+    }
+
+    fn trouble_disk(&mut self, node: NodeId, slow: bool, change: impl FnOnce(&mut MachineDisk)) {
+        if let Some(disk) = self.disks.get_mut(&node) {
+            change(disk);
+            self.world.touch.set_slow(self.world.now, node, slow);
+        }
+    }
+
+    // ---- All at once -----------------------------------------------------------------------------------
+
+    /// All coordinators and edges lose power, or are killed.
+    pub fn lose_all(&mut self, power: bool) {
+        let nodes: Vec<NodeId> = self.coordinators().into_iter().chain(self.edges()).collect();
+        for node in nodes {
+            if power {
+                self.lose_power(node);
+            } else {
+                self.kill(node);
+            }
+        }
+    }
+
+    /// Starts all coordinators and edges that don't run, within 300 ms.
+    pub fn start_missing(&mut self) {
+        let nodes: Vec<NodeId> = self.coordinators().into_iter().chain(self.edges()).collect();
+        for node in nodes.into_iter().filter(|node| !self.is_running(*node)) {
+            let at = self.world.now + self.world.between(0..=300);
+            self.world.at(at, crate::world::Happening::Start(node));
+        }
+    }
+
+    /// The trouble ends everywhere: links, disks, freezes, processes.
+    pub fn heal_all(&mut self) {
+        self.join_all();
+        self.world.network.clear_special();
+        for node in self.coordinators() {
+            self.set_disk_faults(node, Faults::default());
+            self.set_disk_stalled(node, false);
+            self.set_disk_speed(node, 0..=2);
+            self.thaw(node);
+        }
+        for node in self.edges() {
+            self.thaw(node);
+        }
+        self.start_missing();
+    }
+
+    /// The model server's machine of a number, for short.
+    pub fn server_at(&self, number: u8) -> NodeId {
+        site::server(number)
+    }
+}
