--- a/cluster/tests/exchange.rs
+++ b/cluster/tests/exchange.rs
@@ -4,7 +4,7 @@
 
 use directories::*;
 use shaletrail_cluster::directory::{Directory, DirectoryMessage, BATCHES_IN_FLIGHT, RECORDS_IN_BATCH};
-use shaletrail_protocol::inside::{Presence, ServerRecord};
+use shaletrail_protocol::inside::Presence;
 use shaletrail_protocol::outside::Heartbeat;
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
 
--- a/placement/src/server.rs
+++ b/placement/src/server.rs
@@ -253,7 +253,8 @@
 
     fn absorb(&mut self, now: Millis, listed: &[Listed], source: Source) {
         self.holding.absorb(now, listed, source);
-        self.held_before.extend(self.holding.models());
+        // Only what a message lists has surely been there: an unanswered load may never have begun.
+        self.held_before.extend(listed.iter().filter_map(|entry| entry.model));
         let holding = &self.holding;
         let done = |order: &InFlight| {
             order.accepted.is_some() && holding.has(order.item) == (order.operation == Operation::Load)
--- a/simulation/src/coordinator.rs
+++ b/simulation/src/coordinator.rs
@@ -119,6 +119,8 @@
             Message::Closed { number } => self.close(world, disk, number),
             Message::Answer { number, answer } => self.take_answer(world, disk, number, &answer),
             Message::Refused { number, accepted } => self.refused(world, disk, number, accepted),
+            // Between edges only.
+            Message::Loads(_) => {}
         }
     }
 
--- a/simulation/src/edge.rs
+++ b/simulation/src/edge.rs
@@ -8,7 +8,7 @@
 use shaletrail_dataplane::poller::Pace;
 use shaletrail_protocol::frame;
 use shaletrail_protocol::inside::{
-    ConfigNews, Demand, DirectoryCursor, EdgeIdentity, EdgeRequest, Observation, PollReply, PollRequest,
+    ConfigNews, Demand, DirectoryCursor, EdgeIdentity, EdgeLoads, EdgeRequest, Observation, PollReply, PollRequest,
 };
 use shaletrail_protocol::settings::Settings;
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
@@ -31,6 +31,9 @@
 /// The shortest and longest pause after all coordinators have failed, as in the poller.
 const ROUND_PAUSE: std::ops::RangeInclusive<u64> = 100..=300;
 
+/// Between two looks at what the other edges should hear, as in the data plane.
+const TELL_PEERS: Millis = 100;
+
 /// A poll under way.
 #[derive(Clone, Copy, Debug)]
 struct Polling {
@@ -55,6 +58,9 @@
     cursor: DirectoryCursor,
     wants_whole: bool,
     edges: u32,
+    edge_list: u64,
+    edge_nodes: Vec<NodeId>,
+    datagrams: u64,
     demand: Vec<Demand>,
     observed: Vec<Observation>,
     reported_at: Option<Millis>,
@@ -69,6 +75,7 @@
         let node = settings.node();
         let seed = world.random.random();
         world.wake(node, world.now, Timer::PollStep);
+        world.wake(node, world.now, Timer::TellPeers);
         Edge {
             identity: EdgeIdentity { node, incarnation, zone: settings.zone.clone() },
             router: Router::new(Options::within(&settings.bounds), seed),
@@ -82,6 +89,9 @@
             cursor: DirectoryCursor::default(),
             wants_whole: false,
             edges: 0,
+            edge_list: 0,
+            edge_nodes: Vec::new(),
+            datagrams: 0,
             demand: Vec::new(),
             observed: Vec::new(),
             reported_at: None,
@@ -134,6 +144,10 @@
             Message::Answer { number, answer: Answer::Request { status, instance } } => {
                 self.request_answered(world, number, status, instance);
             }
+            Message::Loads(datagram) => {
+                let loads: EdgeLoads = bitcode::decode(&datagram).expect("a datagram of an edge is read");
+                self.tell(world, Event::Peer { edge: loads.edge, shares: loads.shares });
+            }
             Message::Refused { number, accepted } => {
                 if self.polling.is_some_and(|polling| polling.number == number) {
                     self.poll_failed(world);
@@ -157,6 +171,10 @@
             Timer::PollLate(number) if self.polling.is_some_and(|polling| polling.number == number) => {
                 self.poll_failed(world);
             }
+            Timer::TellPeers => {
+                self.tell_peers(world);
+                world.wake(self.node(), world.now + TELL_PEERS, Timer::TellPeers);
+            }
             Timer::UrgentReport => self.report_urgently(world),
             Timer::Router => {
                 if self.router_wake.is_some_and(|at| at <= self.clock(world)) {
@@ -180,12 +198,29 @@
             self.urgent = true;
             self.arm_urgent(world);
         }
+        if self.router.has_urgent_shares() {
+            self.tell_peers(world);
+        }
         for action in actions {
             self.carry_out(world, action);
         }
         self.arm(world);
     }
 
+    /// Tells the other edges what has changed, in a datagram to each.
+    fn tell_peers(&mut self, world: &mut World) {
+        let shares = self.router.take_shares(self.clock(world));
+        if shares.is_empty() {
+            return;
+        }
+        self.datagrams += 1;
+        let EdgeIdentity { node, incarnation, .. } = self.identity;
+        let datagram = bitcode::encode(&EdgeLoads { edge: node, incarnation, number: self.datagrams, shares });
+        for edge in self.edge_nodes.iter().filter(|edge| **edge != node) {
+            world.send(node, *edge, Message::Loads(datagram.clone()));
+        }
+    }
+
     fn arm(&mut self, world: &mut World) {
         let Some(next) = self.router.next_wake() else { return };
         if self.router_wake.is_none_or(|armed| next < armed) {
@@ -224,6 +259,7 @@
             hold_ms: self.pace.hold.as_millis() as u32,
             demand: self.demand.clone(),
             observed: self.observed.clone(),
+            edge_list: self.edge_list,
         }
     }
 
@@ -289,6 +325,10 @@
         if reply.whole || !reply.servers.is_empty() {
             self.tell(world, Event::Servers { records: reply.servers, whole: reply.whole });
         }
+        if let Some(nodes) = reply.edge_nodes {
+            self.edge_nodes = nodes;
+            self.edge_list = reply.edge_list;
+        }
         if reply.edges > 0 && reply.edges != self.edges {
             self.edges = reply.edges;
             self.tell(world, Event::Edges(reply.edges));
--- a/simulation/src/fleet.rs
+++ b/simulation/src/fleet.rs
@@ -364,8 +364,13 @@
 
     /// What has waited reaches the process now.
     pub(crate) fn set_thawed(&mut self, node: NodeId) {
-        let waiting = self.machines.get_mut(&node).and_then(|machine| machine.frozen.take());
-        for waiting in waiting.into_iter().flatten() {
+        let frozen = self.machines.get_mut(&node).and_then(|machine| machine.frozen.take());
+        let mut waiting = frozen.unwrap_or_default();
+        if self.world.chance(0.5) {
+            // Nobody says in which order a process looks at its sockets and its timers.
+            waiting.sort_by_key(|waiting| matches!(waiting, Waiting::Timer(_)));
+        }
+        for waiting in waiting {
             match waiting {
                 Waiting::Message(from, message) => self.deliver(from, node, message),
                 Waiting::Timer(timer) => self.wake(node, timer),
@@ -597,9 +602,11 @@
     /// What is known of the fleet, for messages of failed tests.
     pub fn describe(&self) -> String {
         let mut lines = vec![format!("seed {} at {}", self.options.seed, self.world.now)];
-        for (at, node, note) in &self.world.witness.notes {
-            lines.push(format!("  {at} {node} {note:?}"));
-        }
+        let notes = self.world.witness.notes.iter().map(|(at, node, note)| (*at, format!("{node} {note:?}")));
+        let story = self.world.witness.story.iter().map(|(at, what)| (*at, format!("---- {what}")));
+        let mut told: Vec<(Millis, String)> = story.chain(notes).collect();
+        told.sort_by_key(|(at, _)| *at);
+        lines.extend(told.into_iter().map(|(at, what)| format!("  {at} {what}")));
         for (from, to) in self.world.network.cuts() {
             lines.push(format!("  cut from {from} to {to}"));
         }
--- a/simulation/src/message.rs
+++ b/simulation/src/message.rs
@@ -20,6 +20,8 @@
         /// The frame.
         frame: Vec<u8>,
     },
+    /// A datagram of one edge to another.
+    Loads(Vec<u8>),
     /// Something that is to be answered.
     Call {
         /// Its name.
--- a/simulation/src/requests.rs
+++ b/simulation/src/requests.rs
@@ -113,14 +113,15 @@
     }
 
     fn send(&mut self, world: &mut World, mut out: Out, address: NodeId) {
+        let node = self.node();
         let Some(open) = self.requests.open.get_mut(&out.request) else { return };
         open.held = None;
         let number = world.number();
         let connected =
-            self.requests.pooled.contains(&out.server) || world.network.can_connect(self.node(), address);
+            self.requests.pooled.contains(&out.server) || world.network.can_connect(node, address);
         let (request, attempt) = (out.request, out.attempt);
         if !connected {
-            world.wake(self.node(), world.now + CONNECT_TIMEOUT, Timer::RequestUnreachable(number));
+            world.wake(node, world.now + CONNECT_TIMEOUT, Timer::RequestUnreachable(number));
             self.requests.out.insert(number, out);
             return;
         }
@@ -131,7 +132,7 @@
             model: open.ask.model.clone().unwrap_or_default(),
             adapter: open.ask.adapter.clone(),
         });
-        world.send(self.node(), address, Message::Call { number, call });
+        world.send(node, address, Message::Call { number, call });
         world.witness.written(request.0);
         self.requests.out.insert(number, out);
         self.tell(world, Event::Written(request, attempt));
--- a/simulation/src/server.rs
+++ b/simulation/src/server.rs
@@ -24,6 +24,8 @@
 const ADAPTER_TAKES: std::ops::RangeInclusive<Millis> = 5..=20;
 /// What the unloading of a model takes.
 const EVICTION_TAKES: std::ops::RangeInclusive<Millis> = 0..=300;
+/// Between two looks whether the runs have ended that an unload waits for.
+const UNLOAD_AGAIN: Millis = 10;
 /// What a request takes.
 const REQUEST_TAKES: std::ops::RangeInclusive<Millis> = 20..=250;
 /// The part of its time that a model takes from the server's own disk.
@@ -253,7 +255,7 @@
         match self.life {
             Life::Leaving { gone_at, .. } => {
                 let in_touch = world.touch.is_in_touch(world.now, coordinator, &world.network);
-                world.witness.drained(world.now, &self.id, in_touch);
+                world.witness.drained(world.now, &self.id, coordinator, in_touch);
                 self.life = Life::Drained { gone_at };
                 if gone_at.is_none() {
                     let stays = self.options.drain + world.between(STAYS_LONGER);
@@ -445,6 +447,13 @@
 
     fn order_done(&mut self, world: &mut World, number: u64) {
         let Some(running) = self.running.take_if(|running| running.number == number) else { return };
+        let mut under_way = self.serving.values().map(|serving| &serving.request);
+        if running.order.operation == Operation::Evict && under_way.any(|request| concerns(&running.order, request)) {
+            // An unload waits until its runs end.
+            world.wake(self.node, world.now + UNLOAD_AGAIN, Timer::OrderDone(number));
+            self.running = Some(running);
+            return;
+        }
         let Order { operation, model, adapter, .. } = running.order;
         if running.from_store {
             world.loading -= 1;
--- a/simulation/src/troubles.rs
+++ b/simulation/src/troubles.rs
@@ -6,6 +6,7 @@
 use crate::disk::MachineDisk;
 use crate::fleet::{Fleet, Machine, Process};
 use crate::site;
+use crate::world::Happening;
 
 impl Fleet {
     /// Kills a coordinator's or an edge's process. Its machine goes on: connections are reset, files stay.
@@ -181,10 +182,11 @@
 
     /// Starts all coordinators and edges that don't run, within 300 ms.
     pub fn start_missing(&mut self) {
-        let nodes: Vec<NodeId> = self.coordinators().into_iter().chain(self.edges()).collect();
-        for node in nodes.into_iter().filter(|node| !self.is_running(*node)) {
+        let mut nodes: Vec<NodeId> = self.coordinators().into_iter().chain(self.edges()).collect();
+        nodes.retain(|node| !self.is_running(*node));
+        for node in nodes {
             let at = self.world.now + self.world.between(0..=300);
-            self.world.at(at, crate::world::Happening::Start(node));
+            self.world.at(at, Happening::Start(node));
         }
     }
 
--- a/simulation/src/witness.rs
+++ b/simulation/src/witness.rs
@@ -88,7 +88,9 @@
     pub at: Millis,
     /// The server.
     pub server: ServerId,
-    /// Whether the coordinator that acknowledged was in touch.
+    /// The coordinator that acknowledged.
+    pub by: NodeId,
+    /// Whether it was in touch.
     pub in_touch: bool,
 }
 
@@ -178,6 +180,8 @@
     pub reads: Vec<ReadBack>,
     /// When each machine was last thawed, or a link of it joined.
     pub healed: BTreeMap<NodeId, Vec<Millis>>,
+    /// What was done to the fleet, for messages of failed tests.
+    pub story: Vec<(Millis, String)>,
     /// Log lines of coordinators. No check goes by them.
     pub notes: Vec<(Millis, NodeId, Note)>,
 }
@@ -258,8 +262,8 @@
     }
 
     /// A server has the acknowledgement of its `draining`.
-    pub fn drained(&mut self, at: Millis, server: &ServerId, in_touch: bool) {
-        self.drains.push(Drained { at, server: server.clone(), in_touch });
+    pub fn drained(&mut self, at: Millis, server: &ServerId, by: NodeId, in_touch: bool) {
+        self.drains.push(Drained { at, server: server.clone(), by, in_touch });
     }
 
     /// A configuration comes into force at an edge.
@@ -289,6 +293,11 @@
         self.healed.entry(node).or_default().push(at);
     }
 
+    /// Something is done to the fleet.
+    pub fn tell(&mut self, at: Millis, what: String) {
+        self.story.push((at, what));
+    }
+
     /// A coordinator writes a line to its log.
     pub fn note(&mut self, at: Millis, node: NodeId, note: Note) {
         if self.notes.len() < MOST_NOTES {
--- a/simulation/src/world.rs
+++ b/simulation/src/world.rs
@@ -34,6 +34,8 @@
     PollLate(CallNumber),
     /// An edge sends what cannot wait.
     UrgentReport,
+    /// An edge tells the others what it has under way.
+    TellPeers,
     /// The router's wake-up.
     Router,
     /// The connection for a request has not come up.
--- /dev/null
+++ b/simulation/tests/common/mod.rs
@@ -0,0 +1,62 @@
+//! What the stories share.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use shaletrail_coordinator::core::shards::shard_of;
+use shaletrail_protocol::{Millis, NodeId, ServerId};
+use shaletrail_simulation::site::LLM;
+use shaletrail_simulation::{Fleet, FleetOptions};
+
+/// `drainMs`.
+pub const DRAIN: Millis = 2_000;
+/// `ackTimeoutMs`.
+pub const ACKNOWLEDGED_WITHIN: Millis = 4_000;
+/// `convergenceMs`.
+pub const CONVERGED_WITHIN: Millis = 2_000;
+
+/// A fleet in service, with a seed.
+pub fn ready(seed: u64) -> Fleet {
+    Fleet::ready(FleetOptions { seed, ..FleetOptions::default() })
+}
+
+/// Checks that a change is acknowledged in time, reaches all edges in time, and is read back.
+pub fn assert_in_service(fleet: &mut Fleet) {
+    let change = fleet.replace_within(ACKNOWLEDGED_WITHIN);
+    let converged = fleet.run_until(CONVERGED_WITHIN, |fleet| fleet.is_in_force(change));
+    assert!(converged, "{change} is not in force in time\n{}", fleet.describe());
+    assert_eq!(fleet.read_within(ACKNOWLEDGED_WITHIN), change, "{}", fleet.describe());
+}
+
+/// All coordinators but one.
+pub fn others(fleet: &Fleet, node: NodeId) -> Vec<NodeId> {
+    fleet.coordinators().into_iter().filter(|other| *other != node).collect()
+}
+
+/// Asks for something plain at each edge every 50 ms.
+pub fn ask_for(fleet: &mut Fleet, duration: Millis) -> Vec<u64> {
+    let end = fleet.world.now + duration;
+    let mut requests = Vec::new();
+    while fleet.world.now < end {
+        for node in fleet.edges() {
+            requests.push(fleet.ask_plain(node));
+        }
+        fleet.run(50);
+    }
+    requests
+}
+
+/// Sendings to a server after a moment.
+pub fn sent_after(fleet: &Fleet, server: &ServerId, after: Millis) -> usize {
+    let sendings = &fleet.world.witness.sendings;
+    sendings.iter().filter(|sending| sending.server == *server && sending.at > after).count()
+}
+
+/// The coordinator that holds the orders of the service with models.
+pub fn holder(fleet: &Fleet) -> NodeId {
+    fleet.leader_of(shard_of(LLM)).unwrap_or_else(|| panic!("nobody leads\n{}", fleet.describe()))
+}
+
+/// How long a request waited until it was last sent.
+pub fn sent_within(fleet: &Fleet, request: u64) -> Option<Millis> {
+    let seen = fleet.world.witness.requests.get(&request)?;
+    seen.runs.first().map(|(at, _)| at - seen.at)
+}
