--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -359,7 +359,8 @@
                 Done::Installed => {}
                 Done::Turn { shard, turn } => {
                     let leads = self.shards.get(shard).map(|shard| &shard.replica);
-                    let leads = leads.is_some_and(|replica| replica.is_leader() && replica.term() == turn.holder.fence);
+                    let leads = leads
+                        .is_some_and(|replica| replica.is_leader() && replica.term() == turn.holder.fence);
                     if self.holders.turn(now, shard, turn, leads) {
                         actions.push(Action::Note(Note::Holding { shard, fence: turn.holder.fence }));
                     }
@@ -428,7 +429,9 @@
         let members: Vec<(NodeId, MemberState)> =
             self.membership.members().iter().map(|member| (member.node, member.state)).collect();
         for shard in self.shards.numbers() {
-            let Some(replica) = self.shards.replica_mut(shard).filter(|replica| replica.is_leader()) else { continue };
+            let Some(replica) = self.shards.replica_mut(shard).filter(|replica| replica.is_leader()) else {
+                continue;
+            };
             let present: Vec<NodeId> = replica.voters().members().collect();
             // Newcomers are brought up to date first.
             for (node, state) in &members {
@@ -437,7 +440,8 @@
                 }
             }
             for learner in replica.learners() {
-                let there = members.iter().any(|(node, state)| *node == learner && *state != MemberState::Absent);
+                let there =
+                    members.iter().any(|(node, state)| *node == learner && *state != MemberState::Absent);
                 if !there {
                     replica.remove_learner(learner);
                 }
--- a/coordinator/src/core/orders.rs
+++ b/coordinator/src/core/orders.rs
@@ -168,7 +168,8 @@
         if now < self.next_plan {
             return;
         }
-        self.next_plan = now + if self.under_way.is_empty() && self.planned.is_empty() { PLAN_EVERY } else { PLAN_SOON };
+        self.next_plan =
+            now + if self.under_way.is_empty() && self.planned.is_empty() { PLAN_EVERY } else { PLAN_SOON };
         let feed = now >= self.next_heartbeats;
         if feed {
             self.next_heartbeats = now + HEARTBEATS_EVERY;
@@ -184,7 +185,8 @@
     }
 
     fn propose_turns(&mut self, now: Millis, shards: &mut Shards) {
-        for (shard, leadership) in self.leaderships.iter_mut().filter(|(_, leadership)| !leadership.proposed) {
+        for (shard, leadership) in self.leaderships.iter_mut().filter(|(_, leadership)| !leadership.proposed)
+        {
             let holder = Holder { node: self.node, fence: leadership.term };
             if *shard == super::shards::CONFIGURATION {
                 leadership.proposed = true;
@@ -224,7 +226,8 @@
         let Some(fence) = self.leaderships.get(&shard).map(|leadership| leadership.term) else { return };
         let Some(planner) = self.planners.get(service) else { return };
         let of_service = directory.records().filter(|record| record.heartbeat.service == service);
-        let changed = of_service.filter_map(|record| Some((record.id.clone(), contents_note(now, planner, record, fence)?)));
+        let changed = of_service
+            .filter_map(|record| Some((record.id.clone(), contents_note(now, planner, record, fence)?)));
         let notes: Vec<(ServerId, PlacementNote)> = changed.collect();
         for (server, note) in notes {
             directory.set_note(now, &server, note);
@@ -239,7 +242,9 @@
         directory: &mut Directory,
         actions: &mut Vec<Action>,
     ) {
-        let Some(fence) = self.leaderships.get(&permit.shard).map(|leadership| leadership.term) else { return };
+        let Some(fence) = self.leaderships.get(&permit.shard).map(|leadership| leadership.term) else {
+            return;
+        };
         let Some(planner) = self.planners.get_mut(service) else { return };
         if self.under_way.len() >= MOST_UNDER_WAY {
             return;
@@ -303,8 +308,12 @@
         match those.iter().find(|other| other.name == held.name) {
             None => more.push(held.clone()),
             Some(other) => {
-                let adapters: Vec<String> =
-                    held.adapters.iter().filter(|adapter| !other.adapters.contains(adapter)).cloned().collect();
+                let adapters: Vec<String> = held
+                    .adapters
+                    .iter()
+                    .filter(|adapter| !other.adapters.contains(adapter))
+                    .cloned()
+                    .collect();
                 if !adapters.is_empty() {
                     more.push(HeldModel { adapters, ..held.clone() });
                 }
--- a/coordinator/src/driver/control.rs
+++ b/coordinator/src/driver/control.rs
@@ -71,7 +71,9 @@
         match path.as_str() {
             "/Config.Replace" if posted => change(&host, true, request).await,
             "/Config.Update" if posted => change(&host, false, request).await,
-            "/Config.Read" if request.method() == Method::GET => told(host.operator(OperatorCall::Read).await),
+            "/Config.Read" if request.method() == Method::GET => {
+                told(host.operator(OperatorCall::Read).await)
+            }
             "/Config.Replace" | "/Config.Update" | "/Config.Read" => {
                 plain(StatusCode::METHOD_NOT_ALLOWED, "another method is expected here")
             }
@@ -87,12 +89,18 @@
     };
     match sonic_rs::from_slice::<Heartbeat>(&body) {
         Ok(heartbeat) => taken(host.heartbeat(id, heartbeat).await),
-        Err(error) => plain(StatusCode::BAD_REQUEST, &format!("heartbeat: {}", first_line(&error.to_string()))),
+        Err(error) => {
+            plain(StatusCode::BAD_REQUEST, &format!("heartbeat: {}", first_line(&error.to_string())))
+        }
     }
 }
 
 async fn change(host: &Host, whole: bool, request: Request<Incoming>) -> Answer {
-    let base = match request.headers().get("base-version").map(|value| value.to_str().unwrap_or("").trim().parse()) {
+    let base = match request
+        .headers()
+        .get("base-version")
+        .map(|value| value.to_str().unwrap_or("").trim().parse())
+    {
         Some(Ok(base)) => base,
         None => 0,
         Some(Err(_)) => return plain(StatusCode::BAD_REQUEST, "Base-Version: expected a whole number"),
--- a/coordinator/src/driver/disk.rs
+++ b/coordinator/src/driver/disk.rs
@@ -6,7 +6,8 @@
 
 use shaletrail_protocol::settings::Settings;
 use shaletrail_storage::{
-    erase, FolderDisk, Journal, Options, Refused, RefusedReason, Report, StorageError, Stored, Writer, WriterOptions,
+    erase, FolderDisk, Journal, Options, Refused, RefusedReason, Report, StorageError, Stored, Writer,
+    WriterOptions,
 };
 use slog::{error, warn, Logger};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
@@ -130,7 +131,9 @@
         while let Some((ticket, records)) = self.waiting.pop_front() {
             if let Err(Refused { reason, command }) = writer.append(ticket, records) {
                 // A record over the journal's limit cannot be made safe: nothing that rests on it may be answered.
-                if let (RefusedReason::Busy, shaletrail_storage::Command::Append { ticket, records }) = (reason, command) {
+                if let (RefusedReason::Busy, shaletrail_storage::Command::Append { ticket, records }) =
+                    (reason, command)
+                {
                     self.waiting.push_front((ticket, records));
                 }
                 return;
@@ -143,8 +146,12 @@
 pub async fn hear(host: Rc<Host>, mut reports: UnboundedReceiver<Report>) {
     while let Some(report) = reports.recv().await {
         match report {
-            Report::Done { ticket, wants_checkpoint, .. } => host.handle(Event::Stored { ticket, wants_checkpoint }),
-            Report::Failed { wants_checkpoint, error, .. } => host.disk_failed(&error.to_string(), wants_checkpoint),
+            Report::Done { ticket, wants_checkpoint, .. } => {
+                host.handle(Event::Stored { ticket, wants_checkpoint })
+            }
+            Report::Failed { wants_checkpoint, error, .. } => {
+                host.disk_failed(&error.to_string(), wants_checkpoint)
+            }
             Report::Checkpointed { .. } => host.checkpoint_ended(),
             Report::CheckpointFailed { error } => {
                 host.checkpoint_ended();
--- a/coordinator/src/driver/mod.rs
+++ b/coordinator/src/driver/mod.rs
@@ -61,7 +61,8 @@
 
 /// Runs a coordinator until the process is told to end. Needs a `LocalSet`.
 pub async fn run(settings: Settings, path: PathBuf, log: Logger) -> Result<(), CoordinatorError> {
-    let control = settings.control_plane.ok_or(CoordinatorError::Lacking { key: "listenersMap.controlPlane" })?;
+    let control =
+        settings.control_plane.ok_or(CoordinatorError::Lacking { key: "listenersMap.controlPlane" })?;
     let folder = settings.data_dir.clone().ok_or(CoordinatorError::Lacking { key: "dataDir" })?;
     let internal = std::net::SocketAddrV4::new(settings.ip, settings.internal_port());
     let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
--- a/coordinator/src/driver/orders.rs
+++ b/coordinator/src/driver/orders.rs
@@ -74,7 +74,8 @@
         .ok()?;
     let (sender, connection) = connect(address).await?;
     let asking = async move {
-        let answer = { sender }.send_request(request).await.ok().filter(|answer| answer.status() == StatusCode::OK)?;
+        let answer =
+            { sender }.send_request(request).await.ok().filter(|answer| answer.status() == StatusCode::OK)?;
         let body = Limited::new(answer.into_body(), LONGEST_REPORT).collect().await.ok()?;
         sonic_rs::from_slice(&body.to_bytes()).ok()
     };
--- a/coordinator/src/driver/polls.rs
+++ b/coordinator/src/driver/polls.rs
@@ -52,7 +52,8 @@
 
 async fn converse(host: &Rc<Host>, mut stream: TcpStream) -> Result<(), ReadError> {
     let late = |_| ReadError::from(std::io::Error::from(std::io::ErrorKind::TimedOut));
-    let hello: Hello = tokio::time::timeout(HELLO_TIME, sockets::read_frame(&mut stream)).await.map_err(late)??;
+    let hello: Hello =
+        tokio::time::timeout(HELLO_TIME, sockets::read_frame(&mut stream)).await.map_err(late)??;
     match hello {
         Hello::Core { node, .. } => listen_to(host, node, stream).await,
         Hello::Edge(edge) => answer_polls(host, edge, stream).await,
--- a/coordinator/src/driver/sockets.rs
+++ b/coordinator/src/driver/sockets.rs
@@ -58,7 +58,9 @@
 }
 
 /// Reads one message.
-pub async fn read_frame<M: bitcode::DecodeOwned>(from: &mut (impl AsyncRead + Unpin)) -> Result<M, ReadError> {
+pub async fn read_frame<M: bitcode::DecodeOwned>(
+    from: &mut (impl AsyncRead + Unpin),
+) -> Result<M, ReadError> {
     let mut prefix = [0; frame::PREFIX];
     from.read_exact(&mut prefix).await?;
     let mut body = vec![0; frame::body_length(prefix)?];
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -180,7 +180,8 @@
     }
 
     async fn serve_local(self) {
-        let Dataplane { settings, settings_path, state, control, clients, ingress, readiness, mut random } = self;
+        let Dataplane { settings, settings_path, state, control, clients, ingress, readiness, mut random } =
+            self;
         let incarnation = Incarnation(random.next_u64());
         let poller = Poller::new(state.clone(), &settings, settings_path, random);
         let leaving = Leaving::default();
@@ -271,7 +272,9 @@
     let address = SocketAddrV4::new(settings.ip, settings.internal_port());
     match Peers::open(state.clone(), address, incarnation).await {
         Ok(peers) => peers.run().await,
-        Err(error) => slog::warn!(state.log, "other edges are not told"; "address" => %address, "error" => %error),
+        Err(error) => {
+            slog::warn!(state.log, "other edges are not told"; "address" => %address, "error" => %error)
+        }
     }
 }
 
--- a/dataplane/src/peers.rs
+++ b/dataplane/src/peers.rs
@@ -73,12 +73,8 @@
 
     async fn send(&self, shares: &[LoadShare]) {
         let number = self.sent.replace_with(|sent| *sent + 1) + 1;
-        let loads = EdgeLoads {
-            edge: self.node,
-            incarnation: self.incarnation,
-            number,
-            shares: shares.to_vec(),
-        };
+        let loads =
+            EdgeLoads { edge: self.node, incarnation: self.incarnation, number, shares: shares.to_vec() };
         let datagram = bitcode::encode(&loads);
         let edges = self.state.edges.borrow().clone();
         for edge in edges.iter().filter(|edge| **edge != self.node) {
--- a/placement/src/planner.rs
+++ b/placement/src/planner.rs
@@ -275,11 +275,13 @@
         if server.doubt.is_some() {
             return None;
         }
-        let held = server.holding.models().filter(|model| server.serves(Item { model: *model, adapter: None }));
+        let held =
+            server.holding.models().filter(|model| server.serves(Item { model: *model, adapter: None }));
         let loaded = server.in_flight.as_ref().filter(|order| order.is_likely_loaded(now));
         let loaded = loaded.filter(|order| !server.holding.has(order.item) && order.item.adapter.is_none());
         let models = held.chain(loaded.map(|order| order.item.model));
-        let mut served: Vec<HeldModel> = models.filter_map(|model| self.served_model(server, model)).collect();
+        let mut served: Vec<HeldModel> =
+            models.filter_map(|model| self.served_model(server, model)).collect();
         served.sort_by(|one, other| one.name.cmp(&other.name));
         Some(served)
     }
--- a/protocol/src/inside.rs
+++ b/protocol/src/inside.rs
@@ -6,7 +6,7 @@
 
 use bitcode::{Decode, Encode};
 
-use crate::outside::{HeldModel, Heartbeat};
+use crate::outside::{Heartbeat, HeldModel};
 use crate::{Incarnation, NodeId, ServerId};
 
 /// The first frame on a connection: who calls.
--- a/protocol/src/settings.rs
+++ b/protocol/src/settings.rs
@@ -79,7 +79,8 @@
     }
 
     fn list<T: FromStr>(&self, key: &str, expected: &'static str) -> Result<Vec<T>, SettingsError> {
-        let items = self.value(key).unwrap_or_default().split(',').map(str::trim).filter(|item| !item.is_empty());
+        let items =
+            self.value(key).unwrap_or_default().split(',').map(str::trim).filter(|item| !item.is_empty());
         let parse = |item: &str| item.parse().map_err(|_| WrongSnafu { key, value: item, expected }.build());
         items.map(parse).collect()
     }
@@ -201,10 +202,8 @@
 impl Settings {
     /// Reads the settings from a file.
     pub fn read(path: &std::path::Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
-            path: path.to_owned(),
-            source,
-        })?;
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
         text.parse()
     }
 
--- a/routing/src/attempts.rs
+++ b/routing/src/attempts.rs
@@ -76,7 +76,9 @@
         let fleet = self.fleets.get_mut(&request.wanted.service);
         if outcome.verdict == Verdict::NeverSent {
             request.arrivals = request.arrivals.saturating_sub(1);
-            request.visited.retain(|visited| *visited != out.server);
+            if out.first_visit {
+                request.visited.retain(|visited| *visited != out.server);
+            }
             if out.repeat {
                 fleet.into_iter().for_each(|fleet| fleet.budget.give_back(now));
             }
--- a/routing/src/choice.rs
+++ b/routing/src/choice.rs
@@ -155,9 +155,8 @@
                 field.suspects.push((std::cmp::Reverse(server.health.failures()), handle));
             }
             let allowed = self.ask.only.is_none_or(|only| only.contains(&handle));
-            let could = allowed
-                && server.holds(self.ask.wanted, self.now)
-                && !self.ask.tried.contains(&handle);
+            let could =
+                allowed && server.holds(self.ask.wanted, self.now) && !self.ask.tried.contains(&handle);
             match is_ready {
                 true if could => field.able.push((handle, server)),
                 false if could && admits => field.silent.push((handle, server)),
--- a/routing/src/placing.rs
+++ b/routing/src/placing.rs
@@ -71,7 +71,8 @@
             return None;
         }
         // A server at which it surely has not run may be asked again: that is no further server.
-        let again = request.surely_not_run() && request.arrivals < request.new.route.max_attempts + SAME_AGAIN;
+        let again =
+            request.surely_not_run() && request.arrivals < request.new.route.max_attempts + SAME_AGAIN;
         let left = (self.may_visit_another(request) || again) && self.has_repeat(now, &request.wanted);
         (!left).then(|| request.reason_to_end())
     }
@@ -91,8 +92,7 @@
         let Some(fleet) = self.fleets.get(&request.wanted.service) else { return Err(Unavailable::NoServer) };
         let connections = self.connections_share(&request.wanted.service);
         let only = (!self.may_visit_another(request)).then_some(request.visited.as_slice());
-        let ask =
-            Ask { key: request.key, wanted: &request.wanted, tried: &request.tried, only, connections };
+        let ask = Ask { key: request.key, wanted: &request.wanted, tried: &request.tried, only, connections };
         choose(fleet, &self.servers, &self.peers, &ask, now, &self.options)
     }
 
@@ -131,7 +131,8 @@
         request.sendings += 1;
         request.arrivals += 1;
         request.tried.push(chosen.server);
-        if !request.visited.contains(&chosen.server) {
+        let first_visit = !request.visited.contains(&chosen.server);
+        if first_visit {
             request.visited.push(chosen.server);
         }
         let left = request.deadline_at.saturating_sub(now).saturating_sub(self.options.way_back_ms);
@@ -154,6 +155,7 @@
             silent_at: request.new.route.kind.may_repeat().then_some(now + silence),
             prefill,
             answered: false,
+            first_visit,
             repeat,
             called_off: false,
         };
@@ -163,12 +165,15 @@
     /// Holds a request for which there is no server, if that may be worth it.
     fn hold(&mut self, now: Millis, mut request: Request, why: Unavailable, actions: &mut Vec<Action>) {
         let why = self.forgive(now, &mut request, why);
-        let reason = reason_of(why, &request.wanted);
+        let reason = match request.arrivals {
+            0 => reason_of(why, &request.wanted),
+            _ => request.reason_to_end(),
+        };
         if self.stopping && reason != RefusalReason::Full {
             return self.refuse(now, request, RefusalReason::Stopping, actions);
         }
         let until = self.hold_until(&request, why);
-        if now >= until {
+        if now.max(request.not_before) >= until {
             return self.refuse(now, request, reason, actions);
         }
         let rank = Rank::of(&request);
@@ -198,7 +203,7 @@
             return why;
         }
         request.tried.clear();
-        request.not_before = now + self.options.again_ms;
+        request.not_before = now + self.options.again_ms.max(request.retry_after_ms.unwrap_or(0));
         match self.find_server(now, request) {
             Ok(_) => Unavailable::Full { again_at: Some(request.not_before) },
             Err(why) => why,
--- a/routing/src/requests.rs
+++ b/routing/src/requests.rs
@@ -156,6 +156,8 @@
     pub prefill: u32,
     /// Whether the answer has begun.
     pub answered: bool,
+    /// Whether it is the first sending to that server.
+    pub first_visit: bool,
     /// Whether it took a repeat of the budget.
     pub repeat: bool,
     /// Whether the router called it off in order to go elsewhere.
--- a/routing/src/router.rs
+++ b/routing/src/router.rs
@@ -306,9 +306,13 @@
         let Some((request, out)) = self.out_of(id, attempt) else { return };
         request.head_passed = true;
         request.verdict = Verdict::HasRun;
-        let handle = out.server;
+        let (handle, sent_at, prefill) = (out.server, out.sent_at, out.prefill);
+        let first = !std::mem::replace(&mut out.answered, true);
         if let Some(server) = self.servers.get_mut(handle) {
             server.heard_at = now;
+            if first {
+                self.shares_changed |= server.share.answered(sent_at, prefill);
+            }
             if let Some(load) = load {
                 server.note_load(now, load);
             }
--- a/simulation/src/coordinator.rs
+++ b/simulation/src/coordinator.rs
@@ -115,7 +115,9 @@
                 EdgeRequest::Leave => self.tell(world, disk, Event::EdgeLeft(edge.node)),
                 EdgeRequest::Poll(_) => {}
             },
-            Message::Call { number, call } => self.take_call(world, disk, Caller { node: from, number }, call),
+            Message::Call { number, call } => {
+                self.take_call(world, disk, Caller { node: from, number }, call)
+            }
             Message::Closed { number } => self.close(world, disk, number),
             Message::Answer { number, answer } => self.take_answer(world, disk, number, &answer),
             Message::Refused { number, accepted } => self.refused(world, disk, number, accepted),
--- a/simulation/src/edge.rs
+++ b/simulation/src/edge.rs
@@ -8,7 +8,8 @@
 use shaletrail_dataplane::poller::Pace;
 use shaletrail_protocol::frame;
 use shaletrail_protocol::inside::{
-    ConfigNews, Demand, DirectoryCursor, EdgeIdentity, EdgeLoads, EdgeRequest, Observation, PollReply, PollRequest,
+    ConfigNews, Demand, DirectoryCursor, EdgeIdentity, EdgeLoads, EdgeRequest, Observation, PollReply,
+    PollRequest,
 };
 use shaletrail_protocol::settings::Settings;
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
@@ -140,7 +141,9 @@
     /// Something has come over a link.
     pub fn receive(&mut self, world: &mut World, message: Message) {
         match message {
-            Message::Answer { number, answer: Answer::Poll(frame) } => self.poll_answered(world, number, &frame),
+            Message::Answer { number, answer: Answer::Poll(frame) } => {
+                self.poll_answered(world, number, &frame)
+            }
             Message::Answer { number, answer: Answer::Request { status, instance } } => {
                 self.request_answered(world, number, status, instance);
             }
@@ -215,7 +218,8 @@
         }
         self.datagrams += 1;
         let EdgeIdentity { node, incarnation, .. } = self.identity;
-        let datagram = bitcode::encode(&EdgeLoads { edge: node, incarnation, number: self.datagrams, shares });
+        let datagram =
+            bitcode::encode(&EdgeLoads { edge: node, incarnation, number: self.datagrams, shares });
         for edge in self.edge_nodes.iter().filter(|edge| **edge != node) {
             world.send(node, *edge, Message::Loads(datagram.clone()));
         }
@@ -313,7 +317,11 @@
         let (demand, seen) = self.router.take_report(self.clock(world));
         self.observed.extend(seen);
         let frame = frame::encode(&EdgeRequest::Report { demand });
-        world.send(self.node(), polling.coordinator, Message::EdgeReport { edge: self.identity.clone(), frame });
+        world.send(
+            self.node(),
+            polling.coordinator,
+            Message::EdgeReport { edge: self.identity.clone(), frame },
+        );
     }
 
     fn take_over(&mut self, world: &mut World, reply: PollReply) {
--- a/simulation/src/fleet.rs
+++ b/simulation/src/fleet.rs
@@ -528,7 +528,10 @@
 
     /// Whether a change is in force at all edges that run.
     pub fn is_in_force(&self, change: u64) -> bool {
-        self.edges().iter().filter_map(|node| self.edge(*node)).all(|edge| site::marked_in_view(edge.view()) == Some(change))
+        self.edges()
+            .iter()
+            .filter_map(|node| self.edge(*node))
+            .all(|edge| site::marked_in_view(edge.view()) == Some(change))
     }
 
     /// Edges that could send to this many servers at least, as coordinators see them.
@@ -627,7 +630,12 @@
         let shard = |number| core.shards().get(number).map(|shard| &shard.replica);
         let shards = core.shards().numbers().filter_map(shard).map(|replica| {
             let voters: Vec<Ipv4Addr> = replica.voters().members().map(NodeId::address).collect();
-            format!("{:?} term {} leader {:?} voters {voters:?}", replica.role(), replica.term(), replica.leader())
+            format!(
+                "{:?} term {} leader {:?} voters {voters:?}",
+                replica.role(),
+                replica.term(),
+                replica.leader()
+            )
         });
         format!(
             "version {} in touch {} frozen {}, {}",
--- a/simulation/src/history.rs
+++ b/simulation/src/history.rs
@@ -391,7 +391,8 @@
         let service = self.fleet.server(node).map(|server| server.service().to_owned()).unwrap_or_default();
         let stay = |other: &&NodeId| {
             let server = self.fleet.server(**other);
-            **other != node && server.is_some_and(|server| server.service() == service && !server.is_leaving())
+            **other != node
+                && server.is_some_and(|server| server.service() == service && !server.is_leaving())
         };
         if running.iter().filter(stay).count() < 2 {
             return self.come_back();
@@ -443,7 +444,8 @@
         let lost = if self.world().chance(0.3) { 0.3 } else { 0.0 };
         self.fleet.operator.lost_answers = lost;
         let witness = &self.fleet.world.witness;
-        self.acknowledged = witness.changes.keys().filter(|change| witness.is_acknowledged(**change)).copied().collect();
+        self.acknowledged =
+            witness.changes.keys().filter(|change| witness.is_acknowledged(**change)).copied().collect();
         match self.world().between(0..=5) {
             0 | 1 => {
                 self.fleet.replace();
--- a/simulation/src/network.rs
+++ b/simulation/src/network.rs
@@ -123,7 +123,13 @@
     }
 
     /// Puts a message on its way; when it arrives.
-    pub fn send(&mut self, now: Millis, direction: Direction, message: Message, random: &mut Pcg64) -> Millis {
+    pub fn send(
+        &mut self,
+        now: Millis,
+        direction: Direction,
+        message: Message,
+        random: &mut Pcg64,
+    ) -> Millis {
         let conditions = self.special.get(&direction).unwrap_or(&self.conditions);
         let mut arrives = now + random.random_range(conditions.delay.clone());
         if conditions.loss > 0.0 && random.random_bool(conditions.loss) {
--- a/simulation/src/operator.rs
+++ b/simulation/src/operator.rs
@@ -99,7 +99,8 @@
         call: OperatorCall,
         document: Value,
     ) -> u64 {
-        let sent = ChangeSent { base, version: version_of(&document), document: document.clone(), outcomes: vec![] };
+        let sent =
+            ChangeSent { base, version: version_of(&document), document: document.clone(), outcomes: vec![] };
         world.witness.writes(change, sent);
         self.changes.insert(change, Change { call, document });
         change
@@ -158,7 +159,9 @@
     }
 
     fn send(&mut self, world: &mut World, id: OperatorCallId, coordinators: &[NodeId]) {
-        let Some(pending) = self.pending.get_mut(&id).filter(|pending| pending.waits_for.is_none()) else { return };
+        let Some(pending) = self.pending.get_mut(&id).filter(|pending| pending.waits_for.is_none()) else {
+            return;
+        };
         let last = (coordinators.len() as u64).saturating_sub(1);
         let index = world.between(0..=last) as usize;
         let Some(to) = pending.only.or_else(|| coordinators.get(index).copied()) else {
--- a/simulation/src/requests.rs
+++ b/simulation/src/requests.rs
@@ -4,7 +4,9 @@
 
 use shaletrail_configuration::RouteKind;
 use shaletrail_protocol::{Millis, NodeId, ServerId};
-use shaletrail_routing::interface::{Action, Attempt, Ending, Event, NewRequest, Outcome, RequestId, Verdict};
+use shaletrail_routing::interface::{
+    Action, Attempt, Ending, Event, NewRequest, Outcome, RequestId, Verdict,
+};
 
 use crate::edge::Edge;
 use crate::message::{Call, CallNumber, Message, Request};
--- a/simulation/src/witness.rs
+++ b/simulation/src/witness.rs
@@ -267,7 +267,14 @@
     }
 
     /// A configuration comes into force at an edge.
-    pub fn in_force(&mut self, at: Millis, edge: NodeId, incarnation: Incarnation, version: u64, change: Option<u64>) {
+    pub fn in_force(
+        &mut self,
+        at: Millis,
+        edge: NodeId,
+        incarnation: Incarnation,
+        version: u64,
+        change: Option<u64>,
+    ) {
         self.in_force.push(InForce { at, edge, incarnation, version, change });
     }
 
@@ -318,6 +325,11 @@
     /// The newest version acknowledged before a moment.
     pub fn acknowledged_version(&self, before: Millis) -> u64 {
         let known = |change: &ChangeSent| change.acknowledged_at().is_some_and(|at| at < before);
-        self.changes.values().filter(|change| known(change)).map(|change| change.version).max().unwrap_or_default()
+        self.changes
+            .values()
+            .filter(|change| known(change))
+            .map(|change| change.version)
+            .max()
+            .unwrap_or_default()
     }
 }
