--- a/consensus/src/election.rs
+++ b/consensus/src/election.rs
@@ -8,6 +8,8 @@
 use crate::message::Message;
 use crate::replica::{Replica, State};
 
+/// Voters that start at the same time help a little later than their shortest timeout.
+const HASTE_MARGIN: Millis = 30;
 /// Longest election timeouts that a leader waits before it stands again after it handed over.
 const STAND_BACK: Millis = 2;
 
@@ -134,6 +136,16 @@
         }
     }
 
+    /// Stands for election as soon as voters may help, for a node that should rather lead than others: its owner has to
+    /// wait for something where another one leads.
+    pub fn hasten(&mut self, now: Millis) {
+        self.set_now(now);
+        if !self.is_leader() {
+            let soonest = self.now + self.options.election_min_ms + HASTE_MARGIN;
+            self.election_at = self.election_at.min(soonest);
+        }
+    }
+
     /// Stops leading and prompts the most advanced other voter to stand at once, for a driver whose disk is sick.
     /// Without effect where there is no other voter.
     pub fn hand_over(&mut self, now: Millis) {
--- a/consensus/tests/leases.rs
+++ b/consensus/tests/leases.rs
@@ -46,17 +46,24 @@
 
 #[test]
 fn given_answers_that_are_late_when_they_arrive_then_the_lease_counts_from_the_sending() {
-    let mut group = Group::founded(3, 1);
-    let leader = group.elect();
-    group.run(1000);
-    group.freeze(leader);
-    group.run(495);
-    let until = group.replica(leader).lease_until().expect("it leads");
-    let now = group.machines[&leader].clock(group.now);
-    assert!(until <= now + 505);
-    group.run(200);
-    group.thaw(leader);
-    assert!(!group.has_lease(leader), "answers to messages from before the freeze do not renew it");
+    for seed in 0..10 {
+        // given: a leader that freezes between its heartbeats and their answers
+        let mut group = Group::founded(3, seed);
+        let leader = group.elect();
+        group.run(1000);
+        group.read(leader).expect("a read starts a round");
+        let sent_at = group.machines[&leader].clock(group.now);
+        group.freeze(leader);
+        group.run(495);
+        assert!(group.replica(leader).lease_until().is_some_and(|until| until <= sent_at + 500));
+        // when: the answers are read after the lease has passed
+        group.run(50);
+        assert!(group.machines[&leader].inbox.len() >= 2, "the answers wait");
+        group.thaw(leader);
+        // then: they renew nothing
+        assert!(!group.has_lease(leader), "seed {seed}");
+        assert!(group.replica(leader).lease_until().is_none_or(|until| until == sent_at + 500));
+    }
 }
 
 #[test]
--- a/consensus/tests/replication.rs
+++ b/consensus/tests/replication.rs
@@ -314,3 +314,23 @@
     );
     assert_eq!(applied(&mut replica, 30), [2]);
 }
+
+#[test]
+fn given_synced_entries_that_were_replaced_when_the_new_ones_are_not_synced_then_they_are_not_acknowledged() {
+    // given: synced entries of an older term, and a synced newer term
+    let mut replica = voter_with_old_entries();
+    let stamp = Stamp { round: 1, sent_at: 1 };
+    replica.receive(10, node(3), Message::Heartbeat { term: 3, commit: 1, stamp });
+    applied(&mut replica, 10);
+    // when: its leader replaces them, and the disk is slow
+    let entry = |index| Entry { index, term: 3, payload: Payload::Empty };
+    let (previous, entries) = (Position { term: 1, index: 1 }, vec![entry(2), entry(3)]);
+    replica.receive(20, node(3), Message::Append { term: 3, previous, entries, commit: 1, stamp });
+    replica.receive(30, node(3), Message::Heartbeat { term: 3, commit: 1, stamp });
+    // then: the answer names them as received, not as synced
+    let answers = replica.take_effects().into_iter().filter_map(|effect| match effect {
+        Effect::Send(_, Message::HeartbeatAnswer { received, matched, .. }) => Some((received, matched)),
+        _ => None,
+    });
+    assert_eq!(answers.collect::<Vec<_>>(), [(3, 1)]);
+}
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! answers whoever waits for what has come about.
 
 pub mod demand;
+pub mod memory;
 pub mod operator;
 pub mod orders;
 pub mod polls;
@@ -27,6 +28,7 @@
 
 use crate::interface::{Action, CallId, CoreOptions, Event, Note};
 use demand::{Edges, Gathered};
+use memory::DirectoryMemory;
 use operator::{Caller, OperatorCalls, Stage, Ticket};
 use orders::Holders;
 use polls::{Polls, Waiting};
@@ -51,6 +53,7 @@
     options: CoreOptions,
     membership: Membership,
     directory: Directory,
+    directory_memory: DirectoryMemory,
     shards: Shards,
     operator_calls: OperatorCalls,
     server_calls: HashMap<CallToken, CallId>,
@@ -70,19 +73,22 @@
 
 impl Core {
     /// A coordinator with what its disk held.
-    pub fn new(options: CoreOptions, stored: Vec<Stored>, now: Millis) -> Self {
+    pub fn new(options: CoreOptions, mut stored: Vec<Stored>, now: Millis) -> Self {
         let mut first_actions = Vec::new();
+        let remembered = DirectoryMemory::take_from(&mut stored);
         let shards = Shards::new(&options, stored, now, &mut first_actions);
         let membership_options = membership::Options::default();
         let membership =
             Membership::new(membership_options, options.node, options.incarnation, &options.seeds, now);
         let heartbeat = options.heartbeat.as_millis() as Millis;
         let directory_options = directory::Options::for_heartbeat(heartbeat);
-        let directory = Directory::new(directory_options, options.node, options.incarnation, now);
+        let mut directory = Directory::new(directory_options, options.node, options.incarnation, now);
+        directory.restore(now, remembered);
         let holders = Holders::new(&options);
         Core {
             membership,
             directory,
+            directory_memory: DirectoryMemory::default(),
             shards,
             operator_calls: OperatorCalls::default(),
             server_calls: HashMap::new(),
@@ -127,6 +133,7 @@
             Event::EdgeLeft(node) => self.edges.left(node),
             Event::Ordered { order, outcome } => self.holders.ordered(now, order, outcome),
             Event::Reported { server, report } => self.holders.reported(now, &server, report),
+            Event::Stopping => self.hand_over(now),
             Event::Seeds(seeds) => self.membership.add_seeds(&seeds),
         }
         self.settle(now, actions);
@@ -244,6 +251,11 @@
     /// The disk does not make records safe: whoever can, should lead.
     fn on_disk_sick(&mut self, now: Millis) {
         self.sick_until = now + SICK_FOR;
+        self.hand_over(now);
+    }
+
+    /// Lets other voters lead.
+    fn hand_over(&mut self, now: Millis) {
         for shard in self.shards.numbers() {
             if let Some(replica) = self.shards.replica_mut(shard).filter(|replica| replica.is_leader()) {
                 replica.hand_over(now);
@@ -253,7 +265,9 @@
 
     fn checkpoint_if(&mut self, wanted: bool, actions: &mut Vec<Action>) {
         if wanted {
-            actions.push(Action::Checkpoint { live: self.shards.live_records() });
+            let live =
+                self.shards.live_records().into_iter().chain(self.directory_memory.live_record()).collect();
+            actions.push(Action::Checkpoint { live });
         }
     }
 
@@ -349,6 +363,9 @@
         self.share_demand(now, actions);
         self.place(now, actions);
         self.run_shards(now, actions);
+        if let Some(record) = self.directory_memory.due(now, &self.directory) {
+            self.shards.store_beside(memory::STREAM, record, actions);
+        }
         self.answer_polls(now, actions);
     }
 
--- a/coordinator/src/core/orders.rs
+++ b/coordinator/src/core/orders.rs
@@ -26,7 +26,7 @@
 /// How long before an eviction edges are told that the server will not serve that any more.
 const EVICTION_NOTICE: Millis = 50;
 /// Added to the lease when a holder follows another: orders are taken by servers a little after they are sent.
-const TURN_MARGIN: Millis = 500;
+const TURN_MARGIN: Millis = 150;
 /// Orders and reports that may be under way at once.
 const MOST_UNDER_WAY: usize = 512;
 
@@ -36,8 +36,17 @@
     term: u64,
     elected_at: Millis,
     proposed: bool,
-    /// From when on orders may be sent; `None` until the turn has begun.
-    allowed_from: Option<Millis>,
+    /// The turn, once it has begun.
+    turn: Option<OwnTurn>,
+}
+
+/// A turn of this node.
+#[derive(Clone, Copy, Debug)]
+struct OwnTurn {
+    /// From when on orders may be sent.
+    allowed_from: Millis,
+    /// Until when orders of an earlier turn may have been sent, by this node or another.
+    former_until: Option<Millis>,
 }
 
 /// The right to order the services of a shard for a while.
@@ -87,7 +96,7 @@
 
     /// This node leads a shard.
     pub fn elected(&mut self, now: Millis, shard: u32, term: u64) {
-        let leadership = Leadership { term, elected_at: now, proposed: false, allowed_from: None };
+        let leadership = Leadership { term, elected_at: now, proposed: false, turn: None };
         self.leaderships.insert(shard, leadership);
     }
 
@@ -95,7 +104,6 @@
     pub fn deposed(&mut self, shard: u32) {
         self.leaderships.remove(&shard);
         self.planned.retain(|planned| shard_of(&planned.service) != shard);
-        self.planners.retain(|service, _| shard_of(service) != shard);
     }
 
     /// A turn has begun; whether it is this node's, which still leads.
@@ -104,11 +112,16 @@
         if !leads || turn.holder.node != self.node || turn.holder.fence != leadership.term {
             return false;
         }
-        let follows_another = turn.previous.is_some_and(|previous| previous.node != self.node);
-        leadership.allowed_from = Some(match follows_another {
-            true => leadership.elected_at + self.order_lease + TURN_MARGIN,
-            false => now,
-        });
+        let (allowed_from, former_until) = match turn.previous {
+            None => (now, None),
+            Some(previous) if previous.node == self.node => (now, Some(now)),
+            // The former's lease was over when this node was elected.
+            Some(_) => (leadership.elected_at + self.order_lease + TURN_MARGIN, Some(leadership.elected_at)),
+        };
+        leadership.turn = Some(OwnTurn { allowed_from, former_until });
+        for (_, planner) in self.planners.iter_mut().filter(|(service, _)| shard_of(service) == shard) {
+            planner.take_over(now, former_until);
+        }
         true
     }
 
@@ -129,7 +142,7 @@
     /// Takes over what edges reported.
     pub fn demand(&mut self, now: Millis, reports: &[EdgeReport]) {
         let waits = |report: &EdgeReport| report.demand.iter().any(|demand| demand.waiting > 0);
-        if reports.iter().any(waits) {
+        if reports.iter().any(waits) && !self.leaderships.is_empty() {
             self.next_plan = now;
         }
         for report in reports {
@@ -176,9 +189,14 @@
         }
         let services: Vec<String> = self.catalogues.keys().cloned().collect();
         for service in services {
+            // Also where another node orders: what was asked for is known when this one takes over.
+            self.watch(now, &service, directory, feed);
             let shard = shard_of(&service);
+            if self.leaderships.get(&shard).is_none_or(|leadership| leadership.turn.is_none()) {
+                continue;
+            }
+            self.ask_reports(now, &service, directory, actions);
             let Some(until) = self.may_order_until(now, shard, shards) else { continue };
-            self.prepare(now, &service, directory, feed);
             self.tell_contents(now, &service, shard, directory);
             self.send_orders(now, &service, Permit { shard, until }, directory, actions);
         }
@@ -198,17 +216,24 @@
 
     /// Until when orders may be sent to the servers of a shard's services, if they may be now.
     fn may_order_until(&self, now: Millis, shard: u32, shards: &Shards) -> Option<Millis> {
-        let allowed_from = self.leaderships.get(&shard)?.allowed_from?;
+        let allowed_from = self.leaderships.get(&shard)?.turn?.allowed_from;
         let replica = &shards.get(shard)?.replica;
         let until = replica.lease_until()?;
         (allowed_from <= now && now < until).then_some(until)
     }
 
-    fn prepare(&mut self, now: Millis, service: &str, directory: &Directory, feed: bool) {
+    /// Brings a service's planner up to date with the directory.
+    fn watch(&mut self, now: Millis, service: &str, directory: &Directory, feed: bool) {
         let is_new = !self.planners.contains_key(service);
         if is_new {
             let Some(catalogue) = self.catalogues.get(service) else { return };
-            let planner = Planner::new(service.to_owned(), catalogue.clone(), self.placement.clone(), now);
+            let mut planner =
+                Planner::new(service.to_owned(), catalogue.clone(), self.placement.clone(), now);
+            if let Some(turn) =
+                self.leaderships.get(&shard_of(service)).and_then(|leadership| leadership.turn)
+            {
+                planner.take_over(now, turn.former_until);
+            }
             self.planners.insert(service.to_owned(), planner);
         }
         let Some(planner) = self.planners.get_mut(service).filter(|_| feed || is_new) else { return };
@@ -234,6 +259,15 @@
         }
     }
 
+    fn ask_reports(&mut self, now: Millis, service: &str, directory: &Directory, actions: &mut Vec<Action>) {
+        let Some(planner) = self.planners.get_mut(service) else { return };
+        for server in planner.next_reports(now) {
+            if let Some(record) = directory.record(&server) {
+                actions.push(Action::AskReport { server, address: record.heartbeat.address.clone() });
+            }
+        }
+    }
+
     fn send_orders(
         &mut self,
         now: Millis,
@@ -249,11 +283,6 @@
         if self.under_way.len() >= MOST_UNDER_WAY {
             return;
         }
-        for server in planner.next_reports(now) {
-            if let Some(record) = directory.record(&server) {
-                actions.push(Action::AskReport { server, address: record.heartbeat.address.clone() });
-            }
-        }
         for planned in planner.next_orders(now) {
             let evicts = planned.operation == Operation::Evict;
             let due = if evicts { now + EVICTION_NOTICE } else { now };
--- a/coordinator/src/core/service_state.rs
+++ b/coordinator/src/core/service_state.rs
@@ -43,6 +43,11 @@
         Some(Turn { holder, previous })
     }
 
+    /// Who began the last turn.
+    pub fn holder(&self) -> Option<Holder> {
+        self.holder
+    }
+
     /// The state in bytes.
     pub fn snapshot(&self) -> Vec<u8> {
         bitcode::encode(self)
--- a/coordinator/src/core/shards.rs
+++ b/coordinator/src/core/shards.rs
@@ -120,10 +120,12 @@
     applied_bytes: usize,
     compacted_at: u64,
     snapshot_bytes: usize,
+    started: Millis,
 }
 
 /// All shards at this node.
 pub struct Shards {
+    node: NodeId,
     shards: Vec<Shard>,
     next_ticket: u64,
     /// Tickets given to the disk, with the replicas' own.
@@ -158,9 +160,17 @@
                 replica.found(now, &options.seeds);
             }
             let machine = Machine::new(shard as u32);
-            shards.push(Shard { replica, machine, applied_bytes: 0, compacted_at: 0, snapshot_bytes: 0 });
+            shards.push(Shard {
+                replica,
+                machine,
+                applied_bytes: 0,
+                compacted_at: 0,
+                snapshot_bytes: 0,
+                started: now,
+            });
         }
-        Shards { shards, next_ticket: 0, unsynced: VecDeque::new(), gathered: Vec::new() }
+        let node = options.node;
+        Shards { node, shards, next_ticket: 0, unsynced: VecDeque::new(), gathered: Vec::new() }
     }
 
     /// One shard.
@@ -217,7 +227,13 @@
         }
     }
 
-    /// All that the disk must hold, for a checkpoint.
+    /// Puts a record of another stream on its way to the disk. Nothing waits for it to be safe.
+    pub fn store_beside(&mut self, stream: u32, bytes: Vec<u8>, actions: &mut Vec<Action>) {
+        self.next_ticket += 1;
+        actions.push(Action::Store { ticket: self.next_ticket, records: vec![(stream, bytes)] });
+    }
+
+    /// All that the disk must hold of the shards, for a checkpoint.
     pub fn live_records(&self) -> Vec<(u32, Vec<u8>)> {
         let of_shard = |(number, shard): (usize, &Shard)| {
             let records = shard.replica.records();
@@ -250,6 +266,16 @@
         done
     }
 
+    /// Where this node ordered last, it may go on at once; any other would have to wait for the lease to end.
+    fn hasten_if_holder(&mut self, number: usize) {
+        let node = self.node;
+        let Some(shard) = self.shards.get_mut(number) else { return };
+        let Machine::Service(state) = &shard.machine else { return };
+        if state.holder().is_some_and(|holder| holder.node == node) {
+            shard.replica.hasten(shard.started);
+        }
+    }
+
     fn carry_out(
         &mut self,
         number: usize,
@@ -271,6 +297,7 @@
             Effect::Apply(entry) => done.extend(self.shards[number].apply(shard, entry)),
             Effect::Install(snapshot) => {
                 if self.shards[number].machine.restore(&snapshot.state) || snapshot.state.is_empty() {
+                    self.hasten_if_holder(number);
                     done.push(Done::Installed);
                 } else {
                     actions.push(Action::Note(Note::Unreadable { shard }));
--- a/coordinator/src/driver/host.rs
+++ b/coordinator/src/driver/host.rs
@@ -196,6 +196,7 @@
 
     /// The process is about to end: everybody who waits is told to ask elsewhere.
     pub fn leave(&self) {
+        self.handle(Event::Stopping);
         self.state.borrow_mut().replies.clear();
     }
 }
--- a/coordinator/src/interface.rs
+++ b/coordinator/src/interface.rs
@@ -145,6 +145,8 @@
         /// Its answer.
         report: Option<Report>,
     },
+    /// The process is about to end.
+    Stopping,
     /// The settings file names other seeds.
     Seeds(Vec<NodeId>),
 }
--- a/placement/src/origin.rs
+++ b/placement/src/origin.rs
@@ -32,10 +32,16 @@
 }
 
 impl OriginBudget {
-    /// A budget that a former holder may have used up: what it may have begun is freed at the store's rate.
-    pub fn used_up(now: Millis, window: Millis, load_per_s: f64) -> Self {
+    /// A budget of which nothing has been used.
+    pub fn unused(window: Millis, load_per_s: f64) -> Self {
         let mut budget = OriginBudget { window, limit: 0, per_second: 0.0, begun: Vec::new(), next: 0 };
         budget.set_rate(load_per_s);
+        budget
+    }
+
+    /// A budget that a former holder may have used up: what it may have begun is freed at the store's rate.
+    pub fn used_up(now: Millis, window: Millis, load_per_s: f64) -> Self {
+        let mut budget = OriginBudget::unused(window, load_per_s);
         for number in 1..=budget.limit {
             let freed = now + (number as f64 / budget.per_second * 1_000.0) as Millis;
             budget.count(freed.saturating_sub(window));
--- a/placement/src/planner.rs
+++ b/placement/src/planner.rs
@@ -113,14 +113,19 @@
     pub(crate) figures: Figures,
 }
 
+/// When it shows what a former holder has ordered until a moment.
+fn former_orders(catalogue: &Catalogue, until: Millis) -> Doubt {
+    let slowest = catalogue.models.iter().map(|model| model.load_time_s).fold(0.0, f64::max);
+    let loads_over = (slowest.clamp(0.0, 3_600.0) * FORMER_LOADS * 1_000.0) as Millis + FORMER_SLACK;
+    Doubt { report_from: until + REPORT_LAG, heartbeat_from: until + loads_over }
+}
+
 impl Planner {
     /// A planner that takes over at this moment: the lease of a former holder is over, what it has ordered is
     /// not known, and it may have used up the store's rate.
     pub fn new(service: String, catalogue: Catalogue, options: Options, now: Millis) -> Self {
         let origin = OriginBudget::used_up(now, options.origin_window, catalogue.load_per_s);
-        let slowest = catalogue.models.iter().map(|model| model.load_time_s).fold(0.0, f64::max);
-        let loads_over = (slowest.clamp(0.0, 3_600.0) * FORMER_LOADS * 1_000.0) as Millis + FORMER_SLACK;
-        let former = Doubt { report_from: now + REPORT_LAG, heartbeat_from: now + loads_over };
+        let former = former_orders(&catalogue, now);
         let mut models = ModelTable::default();
         models.set_catalogue(&catalogue);
         Planner {
@@ -142,6 +147,21 @@
         }
     }
 
+    /// Begins to order, after having watched. A former holder's orders may have been taken until `former_until`, and
+    /// may have used up the store's rate by then; `None` if nobody has ordered before.
+    pub fn take_over(&mut self, now: Millis, former_until: Option<Millis>) {
+        let (window, rate) = (self.options.origin_window, self.catalogue.load_per_s);
+        (self.origin, self.former) = match former_until {
+            Some(until) => {
+                (OriginBudget::used_up(until, window, rate), former_orders(&self.catalogue, until))
+            }
+            None => (OriginBudget::unused(window, rate), Doubt { report_from: now, heartbeat_from: now }),
+        };
+        let doubt = former_until.map(|_| self.former);
+        self.servers.values_mut().for_each(|server| server.start_over(doubt));
+        self.changed = true;
+    }
+
     /// Takes over a changed configuration.
     pub fn set_catalogue(&mut self, catalogue: Catalogue) {
         self.models.set_catalogue(&catalogue);
--- a/placement/src/server.rs
+++ b/placement/src/server.rs
@@ -158,6 +158,12 @@
         }
     }
 
+    /// Forgets what this planner itself had under way there, for the beginning of a turn.
+    pub fn start_over(&mut self, doubt: Option<Doubt>) {
+        (self.in_flight, self.reserved, self.revision) = (None, None, None);
+        (self.doubt, self.blocked_until, self.asked, self.ask_again) = (doubt, 0, 0, ASK_AGAIN);
+    }
+
     /// Whether requests may go there.
     pub fn is_ready(&self) -> bool {
         self.presence == Presence::Ready
