Count spent repeats over restarts of edges: no slack in the first window, the departed share

Edges have slack only once a window has passed since their start, and coordinators count edges of the last window, none while they are young themselves.

--- a/coordinator/src/core/demand.rs
+++ b/coordinator/src/core/demand.rs
@@ -83,26 +83,33 @@
 }
 
 /// Data-plane nodes that are at work, as far as this coordinator knows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Edges {
     own: BTreeMap<NodeId, Millis>,
     others: BTreeMap<NodeId, Millis>,
+    /// All that were at work within the window over which repeats are counted.
+    lately: BTreeMap<NodeId, Millis>,
+    window: Millis,
+    started: Millis,
 }
 
 impl Edges {
+    /// Nobody is known. Repeats are counted over `window` milliseconds.
+    pub fn new(window: Millis, now: Millis) -> Self {
+        Edges { own: BTreeMap::new(), others: BTreeMap::new(), lately: BTreeMap::new(), window, started: now }
+    }
+
     /// An edge polls here.
     pub fn polled(&mut self, node: NodeId, now: Millis) {
-        if self.own.len() < MOST_EDGES || self.own.contains_key(&node) {
-            self.own.insert(node, now);
-        }
+        note(&mut self.own, node, now);
+        note(&mut self.lately, node, now);
     }
 
     /// Another coordinator has edges.
     pub fn told(&mut self, nodes: Vec<NodeId>, now: Millis) {
         for node in nodes {
-            if self.others.len() < MOST_EDGES || self.others.contains_key(&node) {
-                self.others.insert(node, now);
-            }
+            note(&mut self.others, node, now);
+            note(&mut self.lately, node, now);
         }
     }
 
@@ -114,8 +121,10 @@
 
     /// Forgets those that were not heard of for long.
     pub fn tick(&mut self, now: Millis) {
+        let window = self.window;
         self.own.retain(|_, heard| *heard + EDGE_STAYS > now);
         self.others.retain(|_, heard| *heard + EDGE_STAYS > now);
+        self.lately.retain(|_, heard| *heard + window.max(EDGE_STAYS) > now);
     }
 
     /// Edges that poll here.
@@ -132,10 +141,19 @@
         all.into_iter().collect()
     }
 
-    /// Edges at work in the whole system.
-    pub fn count(&self) -> u32 {
-        let elsewhere = self.others.keys().filter(|node| !self.own.contains_key(node)).count();
-        (self.own.len() + elsewhere) as u32
+    /// Edges among which the budget of repeats is divided: those that were at work within its window, as they may
+    /// have spent their parts. 0, for unknown, while this coordinator is too young to tell.
+    pub fn sharing(&self, now: Millis) -> u32 {
+        if now < self.started + self.window {
+            return 0;
+        }
+        self.lately.len() as u32
+    }
+}
+
+fn note(table: &mut BTreeMap<NodeId, Millis>, node: NodeId, now: Millis) {
+    if table.len() < MOST_EDGES || table.contains_key(&node) {
+        table.insert(node, now);
     }
 }
 
--- a/coordinator/src/interface.rs
+++ b/coordinator/src/interface.rs
@@ -39,6 +39,8 @@
     pub heartbeat: Duration,
     /// How far apart the orders of two holders must lie.
     pub order_lease: Duration,
+    /// The window over which repeats are counted.
+    pub retry_window: Duration,
     /// What placement goes by.
     pub placement: shaletrail_placement::Options,
     /// For random numbers.
@@ -58,6 +60,7 @@
             hosts_lost: settings.hosts_lost,
             heartbeat: settings.heartbeat,
             order_lease: settings.bounds.lease,
+            retry_window: settings.bounds.retry_window,
             placement: shaletrail_placement::Options::from_bounds(&settings.bounds),
             seed: incarnation.0,
         }
--- a/coordinator/tests/parts.rs
+++ b/coordinator/tests/parts.rs
@@ -159,17 +159,19 @@
 #[test]
 fn given_edges_here_and_elsewhere_when_some_leave_or_fall_silent_then_the_others_count_once_each() {
     // given
-    let mut edges = Edges::default();
+    let mut edges = Edges::new(10_000, 0);
     edges.polled(node(100), 0);
     edges.polled(node(101), 3_000);
     edges.told(nodes(&[101, 102, 103]), 3_000);
-    assert_eq!((edges.count(), edges.list()), (4, nodes(&[100, 101, 102, 103])));
+    assert_eq!(edges.list(), nodes(&[100, 101, 102, 103]));
 
     // when
     edges.tick(4_000);
     edges.left(node(103));
 
     // then
-    assert_eq!((edges.own(), edges.count()), (nodes(&[101]), 2));
+    assert_eq!((edges.own(), edges.list().len()), (nodes(&[101]), 2));
+    // What those that are away may have spent of the budget of repeats counts until its window is over.
+    assert_eq!(edges.sharing(10_000), 4);
     assert_ne!(list_name(&edges.list()), list_name(&nodes(&[102, 101])));
 }
--- a/hollow/src/core_node.rs
+++ b/hollow/src/core_node.rs
@@ -110,6 +110,7 @@
     fn options(&self, world: &mut World, bootstrap: bool) -> CoreOptions {
         let incarnation = Incarnation(world.schedule.name().wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
         CoreOptions {
+            retry_window: std::time::Duration::from_secs(10),
             node: site::core_node(self.place),
             name: format!("core-{}", self.place),
             incarnation,
--- a/hollow/tests/common/mod.rs
+++ b/hollow/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 use shaletrail_hollow::Options;
 
+/// Requests a second for something idle, for each server: far more than to come, so that luck counts for little.
+const COLD_A_SERVER: f64 = 0.05;
+
 /// A fleet that a test can afford: few models, few requests, five coordinators.
 pub fn small(edges: usize, servers: usize) -> Options {
     Options {
@@ -9,7 +12,9 @@
         services: 2,
         routes: 8,
         request_rate: 20.0,
-        seconds: 3,
+        cold_rate: COLD_A_SERVER * servers as f64,
+        change_rate: 1.0,
+        seconds: 4,
         patience_s: 600,
         ..Options::of_size(edges, servers, 5)
     }
--- a/routing/src/budget.rs
+++ b/routing/src/budget.rs
@@ -38,7 +38,10 @@
     /// Whether a repeat is left.
     pub fn has_left(&mut self, now: Millis, edges: u32, options: &Options) -> bool {
         let edges = if edges == 0 { options.assumed_edges } else { edges };
-        let slack = options.retry_slack / f64::from(edges.max(1));
+        let slack = match now < options.slack_from_ms {
+            true => 0.0,
+            false => options.retry_slack / f64::from(edges.max(1)),
+        };
         let part = options.retry_ratio * f64::from(self.requests.at_least(now)) + slack;
         f64::from(self.repeats.at_most(now)) + 1.0 <= part * options.budget_share
     }
--- a/routing/src/options.rs
+++ b/routing/src/options.rs
@@ -16,6 +16,9 @@
     pub retry_slack: f64,
     /// The window over which repeats are counted.
     pub retry_window_ms: Millis,
+    /// From when on the slack counts. A process that ran here before may have spent it within the same window; the
+    /// clock that events carry must then begin with the process.
+    pub slack_from_ms: Millis,
     /// The share of the edge's part of the budget that is used.
     pub budget_share: f64,
     /// Edges assumed to be at work while their number is not known.
@@ -87,6 +90,7 @@
             retry_ratio: 0.1,
             retry_slack: 20.0,
             retry_window_ms: 10_000,
+            slack_from_ms: 0,
             budget_share: 0.8,
             assumed_edges: 64,
             max_open: 4096,
@@ -128,6 +132,7 @@
             retry_ratio: bounds.retry_ratio,
             retry_slack: bounds.retry_slack,
             retry_window_ms: bounds.retry_window.as_millis() as Millis,
+            slack_from_ms: bounds.retry_window.as_millis() as Millis,
             ..Options::default()
         }
     }
