Split the coordinator's core by concern

mod.rs held the operator's calls, polls, servers' calls, demand, touch, disk and the voters' loop beside the order in which they run. Each is now a module of its own with an impl block on Core; tables of waiting calls stand beside them. No change of behaviour. Polls are renamed HeldPolls, told_version announced_version, first_actions startup_actions.

--- a/coordinator/src/core/demand.rs
+++ b/coordinator/src/core/demand.rs
@@ -1,163 +1,74 @@
-//! Demand that edges report with their polls, gathered until it goes to the holders of orders.
+//! Demand that edges report with their polls, gathered and shared with the holders of orders.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod edges;
+mod gathered;
 
-use shaletrail_protocol::inside::{Demand, EdgeReport, Observation};
-use shaletrail_protocol::{Millis, NodeId, ServerId};
+use shaletrail_protocol::inside::{CoreMessage, Demand, Observation};
+use shaletrail_protocol::{Millis, NodeId};
 
-/// Different things asked for that are kept in one span.
-const MOST_DEMAND: usize = 4096;
-/// Servers of which observations are kept in one span.
-const MOST_OBSERVED: usize = 4096;
-/// How long after its last poll an edge counts as at work.
-const EDGE_STAYS: Millis = 4_000;
-/// Edges that are told of each other by name, at most: each tells all others what it has under way.
-const MOST_TOLD: usize = 128;
-/// Edges kept.
-const MOST_EDGES: usize = 2_048;
+use super::Core;
+use crate::interface::Action;
 
-type Asked = (String, String, Option<String>);
+pub use edges::{list_name, Edges};
+pub use gathered::Gathered;
 
-/// What edges reported since it was last taken.
-#[derive(Debug, Default)]
-pub struct Gathered {
-    edges: BTreeMap<NodeId, Report>,
-}
+/// Between two messages that carry demand to the holders of orders.
+const DEMAND_EVERY: Millis = 250;
+/// The same where requests wait for a model or an adapter.
+const URGENT_DEMAND_EVERY: Millis = 30;
 
-#[derive(Debug, Default)]
-struct Report {
-    demand: BTreeMap<Asked, Demand>,
-    observed: BTreeMap<ServerId, Observation>,
+/// When demand is shared.
+#[derive(Clone, Copy, Debug)]
+pub struct SharingTimes {
+    next: Millis,
+    last: Millis,
 }
 
-impl Gathered {
-    /// Adds one edge's report.
-    pub fn add(&mut self, edge: NodeId, demand: Vec<Demand>, observed: Vec<Observation>) {
-        if self.edges.len() < MOST_EDGES || self.edges.contains_key(&edge) {
-            self.edges.entry(edge).or_default().add(demand, observed);
-        }
+impl SharingTimes {
+    /// It is due at once.
+    pub fn new(now: Millis) -> Self {
+        SharingTimes { next: now, last: now }
     }
 
-    /// Takes what was gathered.
-    pub fn take(&mut self) -> Vec<EdgeReport> {
-        let reports = std::mem::take(&mut self.edges).into_iter();
-        let report = |(edge, report): (NodeId, Report)| EdgeReport {
-            edge,
-            demand: report.demand.into_values().collect(),
-            observed: report.observed.into_values().collect(),
-        };
-        reports.map(report).collect()
+    /// Requests wait for what is reported: it is due soon.
+    fn hurry(&mut self) {
+        self.next = self.next.min(self.last + URGENT_DEMAND_EVERY);
     }
-}
 
-impl Report {
-    fn add(&mut self, demand: Vec<Demand>, observed: Vec<Observation>) {
-        for one in demand {
-            let asked = (one.service.clone(), one.model.clone(), one.adapter.clone());
-            if let Some(sum) = self.demand.get_mut(&asked) {
-                add_demand(sum, &one);
-            } else if self.demand.len() < MOST_DEMAND {
-                self.demand.insert(asked, one);
-            }
-        }
-        for one in observed {
-            if let Some(sum) = self.observed.get_mut(&one.server) {
-                sum.succeeded = sum.succeeded.saturating_add(one.succeeded);
-                sum.failed = sum.failed.saturating_add(one.failed);
-                sum.unreachable = sum.unreachable.saturating_add(one.unreachable);
-            } else if self.observed.len() < MOST_OBSERVED {
-                self.observed.insert(one.server.clone(), one);
-            }
+    /// The milliseconds that the demand covers, if it is due.
+    fn take_due(&mut self, now: Millis) -> Option<Millis> {
+        if now < self.next {
+            return None;
         }
+        self.next = now + DEMAND_EVERY;
+        let span = now.saturating_sub(self.last).max(1);
+        self.last = now;
+        Some(span)
     }
 }
 
-/// Adds a later report of the same edge: counts add up, what holds at a moment is replaced.
-fn add_demand(sum: &mut Demand, later: &Demand) {
-    sum.arrived = sum.arrived.saturating_add(later.arrived);
-    sum.tokens = sum.tokens.saturating_add(later.tokens);
-    sum.priority = sum.priority.min(later.priority);
-    sum.crowded = sum.crowded.saturating_add(later.crowded);
-    sum.waiting = later.waiting;
-    sum.open = later.open;
-}
-
-/// Data-plane nodes that are at work, as far as this coordinator knows.
-#[derive(Debug)]
-pub struct Edges {
-    own: BTreeMap<NodeId, Millis>,
-    others: BTreeMap<NodeId, Millis>,
-    /// All that were at work within the window over which repeats are counted.
-    lately: BTreeMap<NodeId, Millis>,
-    window: Millis,
-    started: Millis,
-}
-
-impl Edges {
-    /// Nobody is known. Repeats are counted over `window` milliseconds.
-    pub fn new(window: Millis, now: Millis) -> Self {
-        Edges { own: BTreeMap::new(), others: BTreeMap::new(), lately: BTreeMap::new(), window, started: now }
-    }
-
-    /// An edge polls here.
-    pub fn polled(&mut self, node: NodeId, now: Millis) {
-        note(&mut self.own, node, now);
-        note(&mut self.lately, node, now);
-    }
-
-    /// Another coordinator has edges.
-    pub fn told(&mut self, nodes: Vec<NodeId>, now: Millis) {
-        for node in nodes {
-            note(&mut self.others, node, now);
-            note(&mut self.lately, node, now);
+impl Core {
+    /// Takes over what an edge reports. Requests that wait for a model are told to the holders of orders soon.
+    pub(super) fn gather(&mut self, edge: NodeId, demand: Vec<Demand>, observed: Vec<Observation>) {
+        if demand.iter().any(|demand| demand.waiting > 0) {
+            self.sharing_times.hurry();
         }
+        self.gathered.add(edge, demand, observed);
     }
 
-    /// An edge's process is ending.
-    pub fn left(&mut self, node: NodeId) {
-        self.own.remove(&node);
-        self.others.remove(&node);
-    }
-
-    /// Forgets those that were not heard of for long.
-    pub fn tick(&mut self, now: Millis) {
-        let window = self.window;
-        self.own.retain(|_, heard| *heard + EDGE_STAYS > now);
-        self.others.retain(|_, heard| *heard + EDGE_STAYS > now);
-        self.lately.retain(|_, heard| *heard + window.max(EDGE_STAYS) > now);
-    }
-
-    /// Edges that poll here.
-    pub fn own(&self) -> Vec<NodeId> {
-        self.own.keys().copied().collect()
-    }
-
-    /// The edges at work in the whole system, in order; none where they are too many to be told.
-    pub fn list(&self) -> Vec<NodeId> {
-        let all: BTreeSet<NodeId> = self.own.keys().chain(self.others.keys()).copied().collect();
-        if all.len() > MOST_TOLD {
-            return Vec::new();
+    /// Sends what edges reported here to the nodes that lead the service shards.
+    pub(super) fn share_demand(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let Some(span) = self.sharing_times.take_due(now) else { return };
+        let reports = self.gathered.take();
+        self.holders.demand(now, &reports);
+        let edges = self.edges.own();
+        if edges.is_empty() && reports.is_empty() {
+            return;
         }
-        all.into_iter().collect()
-    }
-
-    /// Edges among which the budget of repeats is divided: those that were at work within its window, as they may
-    /// have spent their parts. 0, for unknown, while this coordinator is too young to tell.
-    pub fn sharing(&self, now: Millis) -> u32 {
-        if now < self.started + self.window {
-            return 0;
+        let span_ms = span as u32;
+        for to in self.coordinators().into_iter().filter(|node| *node != self.options.node) {
+            let message = CoreMessage::Demand { span_ms, edges: edges.clone(), reports: reports.clone() };
+            actions.push(Action::Send { to, message });
         }
-        self.lately.len() as u32
-    }
-}
-
-fn note(table: &mut BTreeMap<NodeId, Millis>, node: NodeId, now: Millis) {
-    if table.len() < MOST_EDGES || table.contains_key(&node) {
-        table.insert(node, now);
     }
 }
-
-/// Names a list of edges.
-pub fn list_name(edges: &[NodeId]) -> u64 {
-    edges.iter().fold(1, |name, node| shaletrail_ring::mix(name ^ u64::from(node.0)))
-}
--- a/coordinator/src/core/operator.rs
+++ b/coordinator/src/core/operator.rs
@@ -1,116 +1,134 @@
-//! Calls of the operator that wait for their answer.
-//!
-//! A call is answered only by the configuration's shard: by the entry that its proposal became, or by a read
-//! that a majority has confirmed. A node that does not lead the shard hands the call to the leader. Nobody is
-//! ever given an answer by guess: a call whose end is not known in time is answered `Unavailable`, and as
-//! changes are remembered by content it may come again, anywhere.
+//! The operator's calls: each is brought to the leader of the configuration's shard, and answered by what was agreed.
 
-use std::collections::BTreeMap;
+mod table;
 
-use shaletrail_protocol::inside::OperatorCall;
+use shaletrail_configuration::{Change, Judgement};
+use shaletrail_consensus::Replica;
+use shaletrail_protocol::inside::{CoreMessage, OperatorAnswer, OperatorCall};
 use shaletrail_protocol::{Millis, NodeId};
 
-use crate::interface::CallId;
+use super::Core;
+use crate::interface::Action;
 
-/// Calls that may wait at once.
-const MOST_CALLS: usize = 64;
-/// How long a call may wait. Operators go on to another node after a second; large bodies take longer.
-const PATIENCE: Millis = 900;
-/// What is added for each MB of a call's body.
-const PATIENCE_PER_MB: Millis = 500;
+pub use table::{Caller, OperatorCalls, Pending, Stage, Ticket};
 
-/// Who waits for the answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Caller {
-    /// The operator, at this node.
-    Here(CallId),
-    /// Another node, which handed it on.
-    Node {
-        /// The node.
-        node: NodeId,
-        /// Its name for the call.
-        call: u64,
-    },
-}
-
-/// Names a call in the table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Ticket(pub u64);
+impl Core {
+    pub(super) fn operate(
+        &mut self,
+        now: Millis,
+        caller: Caller,
+        call: OperatorCall,
+        actions: &mut Vec<Action>,
+    ) {
+        if let OperatorCall::Change { whole, base, body } = &call {
+            if let Err(invalid) = Change::parse(*whole, *base, body) {
+                let answer = OperatorAnswer::Invalid { reason: invalid.to_string() };
+                return answer_caller(caller, answer, actions);
+            }
+        }
+        if self.operator_calls.add(now, caller, call).is_none() {
+            answer_caller(caller, OperatorAnswer::Unavailable, actions);
+        }
+    }
 
-/// Where a call stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// It waits for a leader to be known.
-    Waiting,
-    /// It was handed to the leader.
-    Forwarded(NodeId),
-    /// It was proposed as an entry.
-    Proposed {
-        /// The entry's index.
-        index: u64,
-        /// The entry's term.
-        term: u64,
-    },
-    /// A read that waits to be confirmed.
-    Reading,
-}
+    /// Brings calls that wait to the leader of the configuration's shard.
+    pub(super) fn advance_calls(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let leader = self.shards.configuration_replica().leader();
+        self.operator_calls.start_over(|stage| match stage {
+            Stage::Forwarded(node) => leader.is_some_and(|leader| leader != node),
+            _ => false,
+        });
+        for ticket in self.operator_calls.find(|pending| pending.stage == Stage::Waiting) {
+            let Some(pending) = self.operator_calls.get_mut(ticket) else { continue };
+            let replica = self.shards.configuration_replica();
+            if replica.is_leader() {
+                if let Some(stage) = begin(replica, now, ticket, &pending.call) {
+                    pending.stage = stage;
+                }
+            } else if let (Some(leader), Caller::Here(_)) = (leader, pending.caller) {
+                let forward = CoreMessage::Forward { call: ticket.0, change: pending.call.clone() };
+                actions.push(Action::Send { to: leader, message: forward });
+                pending.stage = Stage::Forwarded(leader);
+            }
+        }
+        for ticket in self.operator_calls.find(|pending| pending.until <= now) {
+            self.end_call(ticket, OperatorAnswer::Unavailable, actions);
+        }
+    }
 
-/// A call that waits.
-#[derive(Clone, Debug)]
-pub struct Pending {
-    /// For whom.
-    pub caller: Caller,
-    /// What is asked.
-    pub call: OperatorCall,
-    /// Where it stands.
-    pub stage: Stage,
-    /// When it is given up.
-    pub until: Millis,
-}
+    pub(super) fn forwarded(
+        &mut self,
+        from: NodeId,
+        ticket: Ticket,
+        answer: OperatorAnswer,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.operator_calls.get_mut(ticket) else { return };
+        if pending.stage != Stage::Forwarded(from) {
+            return;
+        }
+        self.end_call(ticket, answer, actions);
+    }
 
-/// All calls that wait.
-#[derive(Debug, Default)]
-pub struct OperatorCalls {
-    pending: BTreeMap<Ticket, Pending>,
-    next: u64,
-}
+    pub(super) fn judged(&mut self, index: u64, term: u64, judgement: Judgement, actions: &mut Vec<Action>) {
+        let concerned = self.operator_calls.find(|pending| match pending.stage {
+            Stage::Proposed { index: own, .. } => own == index,
+            _ => false,
+        });
+        for ticket in concerned {
+            let Some(pending) = self.operator_calls.get_mut(ticket) else { continue };
+            if pending.stage == (Stage::Proposed { index, term }) {
+                self.end_call(ticket, answer_of(&judgement), actions);
+            } else {
+                // Another leader's entry took the place: the proposal is lost.
+                pending.stage = Stage::Waiting;
+            }
+        }
+    }
 
-impl OperatorCalls {
-    /// Takes a call in; `None` if too many wait.
-    pub fn add(&mut self, now: Millis, caller: Caller, call: OperatorCall) -> Option<Ticket> {
-        if self.pending.len() >= MOST_CALLS {
-            return None;
+    pub(super) fn read_done(&mut self, token: u64, confirmed: bool, actions: &mut Vec<Action>) {
+        let ticket = Ticket(token);
+        if confirmed {
+            let body = self.shards.configuration().read();
+            self.end_call(ticket, OperatorAnswer::Done { body }, actions);
+        } else if let Some(pending) = self.operator_calls.get_mut(ticket) {
+            pending.stage = Stage::Waiting;
         }
-        let megabytes = match &call {
-            OperatorCall::Change { body, .. } => body.len() as u64 >> 20,
-            OperatorCall::Read => 0,
-        };
-        let until = now + PATIENCE + PATIENCE_PER_MB * megabytes;
-        self.next += 1;
-        let ticket = Ticket(self.next);
-        self.pending.insert(ticket, Pending { caller, call, stage: Stage::Waiting, until });
-        Some(ticket)
     }
 
-    /// A call by its name.
-    pub fn get_mut(&mut self, ticket: Ticket) -> Option<&mut Pending> {
-        self.pending.get_mut(&ticket)
+    fn end_call(&mut self, ticket: Ticket, answer: OperatorAnswer, actions: &mut Vec<Action>) {
+        if let Some(pending) = self.operator_calls.remove(ticket) {
+            answer_caller(pending.caller, answer, actions);
+        }
     }
+}
 
-    /// Ends a call.
-    pub fn remove(&mut self, ticket: Ticket) -> Option<Pending> {
-        self.pending.remove(&ticket)
+/// Starts a call at the leader; `None` if it must wait.
+fn begin(replica: &mut Replica, now: Millis, ticket: Ticket, call: &OperatorCall) -> Option<Stage> {
+    match call {
+        OperatorCall::Read => replica.read(now, ticket.0).ok().map(|()| Stage::Reading),
+        OperatorCall::Change { whole, base, body } => {
+            let change = Change::parse(*whole, *base, body).ok()?;
+            let term = replica.term();
+            let index = replica.propose(now, change.encode()).ok()?;
+            Some(Stage::Proposed { index, term })
+        }
     }
+}
 
-    /// The calls for which something holds.
-    pub fn find(&self, holds: impl Fn(&Pending) -> bool) -> Vec<Ticket> {
-        self.pending.iter().filter(|(_, pending)| holds(pending)).map(|(ticket, _)| *ticket).collect()
+fn answer_of(judgement: &Judgement) -> OperatorAnswer {
+    match judgement {
+        Judgement::Apply | Judgement::Repeated => OperatorAnswer::Done { body: b"{}".to_vec() },
+        Judgement::Conflict { current } => OperatorAnswer::Conflict { current: *current },
+        Judgement::Invalid(invalid) => OperatorAnswer::Invalid { reason: invalid.to_string() },
     }
+}
 
-    /// Sets back to waiting what rests on a leadership that has changed.
-    pub fn start_over(&mut self, concerns: impl Fn(Stage) -> bool) {
-        for pending in self.pending.values_mut().filter(|pending| concerns(pending.stage)) {
-            pending.stage = Stage::Waiting;
+fn answer_caller(caller: Caller, answer: OperatorAnswer, actions: &mut Vec<Action>) {
+    match caller {
+        Caller::Here(call) => actions.push(Action::AnswerOperator { call, answer }),
+        Caller::Node { node, call } => {
+            actions.push(Action::Send { to: node, message: CoreMessage::Forwarded { call, answer } })
         }
     }
 }
--- /dev/null
+++ b/coordinator/src/core/polls/table.rs
@@ -0,0 +1,58 @@
+//! HeldPolls of data-plane nodes that wait for news.
+
+use std::collections::BTreeMap;
+
+use shaletrail_protocol::inside::DirectoryCursor;
+use shaletrail_protocol::{Millis, NodeId};
+
+use crate::interface::CallId;
+
+/// HeldPolls that may wait at once.
+const MOST_POLLS: usize = 2_048;
+/// The longest time for which a poll is held, whatever it asks for.
+const LONGEST_HOLD: Millis = 10_000;
+
+/// A poll that waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldPoll {
+    /// Whose.
+    pub edge: NodeId,
+    /// The configuration in force there.
+    pub config_version: u64,
+    /// What it knows of the directory.
+    pub cursor: DirectoryCursor,
+    /// The list of edges that it knows.
+    pub edge_list: u64,
+    /// When it is answered even without news.
+    pub due: Millis,
+}
+
+/// All polls that wait.
+#[derive(Debug, Default)]
+pub struct HeldPolls {
+    waiting: BTreeMap<CallId, HeldPoll>,
+}
+
+impl HeldPolls {
+    /// Takes a poll in; false if too many wait.
+    pub fn add(&mut self, now: Millis, call: CallId, mut poll: HeldPoll) -> bool {
+        if self.waiting.len() >= MOST_POLLS {
+            return false;
+        }
+        poll.due = poll.due.min(now + LONGEST_HOLD);
+        self.waiting.insert(call, poll);
+        true
+    }
+
+    /// Its caller has left.
+    pub fn remove(&mut self, call: CallId) {
+        self.waiting.remove(&call);
+    }
+
+    /// Takes out the polls for which something holds.
+    pub fn take(&mut self, holds: impl Fn(&HeldPoll) -> bool) -> Vec<(CallId, HeldPoll)> {
+        let calls: Vec<CallId> =
+            self.waiting.iter().filter(|(_, poll)| holds(poll)).map(|(call, _)| *call).collect();
+        calls.into_iter().filter_map(|call| Some((call, self.waiting.remove(&call)?))).collect()
+    }
+}
--- /dev/null
+++ b/coordinator/src/core/progress.rs
@@ -0,0 +1,54 @@
+//! What follows from what the shards have done: answers to the operator, turns of holders of orders, notes.
+
+use shaletrail_protocol::Millis;
+
+use super::operator::Stage;
+use super::shards::{Done, CONFIGURATION};
+use super::Core;
+use crate::interface::{Action, Note};
+
+impl Core {
+    pub(super) fn run_shards(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        for done in self.shards.pump(actions) {
+            match done {
+                Done::Judged { index, term, judgement } => self.judged(index, term, judgement, actions),
+                Done::Installed => {}
+                Done::Turn { shard, turn } => {
+                    let leads = self.shards.get(shard).map(|shard| &shard.replica);
+                    let leads = leads
+                        .is_some_and(|replica| replica.is_leader() && replica.term() == turn.holder.fence);
+                    if self.holders.turn(now, shard, turn, leads) {
+                        actions.push(Action::Note(Note::Holding { shard, fence: turn.holder.fence }));
+                    }
+                }
+                Done::ReadReady { token } => self.read_done(token, true, actions),
+                Done::ReadFailed { token } => self.read_done(token, false, actions),
+                Done::Elected { shard, term } => {
+                    actions.push(Action::Note(Note::Leading { shard, term }));
+                    if shard == CONFIGURATION {
+                        self.hand_over_if_disk_sick(now);
+                    }
+                    self.holders.elected(now, shard, term);
+                }
+                Done::Deposed { shard, term } => {
+                    actions.push(Action::Note(Note::Deposed { shard, term }));
+                    self.holders.deposed(shard);
+                    if shard == CONFIGURATION {
+                        self.operator_calls.start_over(rests_on_leadership);
+                    }
+                }
+            }
+        }
+        let version = self.configuration_version();
+        if version != self.announced_version {
+            self.announced_version = version;
+            self.holders.configured(self.shards.configuration().view());
+            actions.push(Action::Note(Note::Configuration { version }));
+        }
+    }
+}
+
+/// Whether a call at this stage is lost with the own leadership and must be brought to the next leader.
+fn rests_on_leadership(stage: Stage) -> bool {
+    matches!(stage, Stage::Proposed { .. } | Stage::Reading)
+}
--- a/coordinator/tests/parts.rs
+++ b/coordinator/tests/parts.rs
@@ -5,7 +5,7 @@
 use common::node;
 use shaletrail_coordinator::core::demand::{list_name, Edges, Gathered};
 use shaletrail_coordinator::core::operator::{Caller, OperatorCalls, Stage};
-use shaletrail_coordinator::core::polls::{Polls, Waiting};
+use shaletrail_coordinator::core::polls::{HeldPoll, HeldPolls};
 use shaletrail_coordinator::core::service_state::{Holder, ServiceState};
 use shaletrail_coordinator::core::shards::{shard_of, CONFIGURATION, SERVICE_SHARDS};
 use shaletrail_coordinator::core::voters::{group_size, wanted, Candidate};
@@ -115,8 +115,8 @@
 
 #[test]
 fn given_a_poll_when_it_asks_to_be_held_for_an_hour_then_it_is_held_for_ten_seconds() {
-    let mut polls = Polls::default();
-    let waiting = Waiting {
+    let mut polls = HeldPolls::default();
+    let waiting = HeldPoll {
         edge: node(100),
         config_version: 0,
         cursor: DirectoryCursor::default(),
