Never give a late answer to a call of a later start, nor refuse what may still be taken

A call that was handed on to the leader was named by a number that began at 1 with each start of the process. A node that started again while an answer was on its way gave that answer to its own call of that number: an order was confirmed, or refused, that nobody had judged. The numbers now begin at a place of the start's own.

A change that builds on a version yet to come was refused with 412, though a second copy of it, still on its way to another node, could be taken once that version was there: refused, and in force. It now gets 503, as no clear answer. One that builds on an older version stays refused, for good.

--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -77,7 +77,7 @@
             directory,
             directory_memory: DirectoryMemory::default(),
             shards,
-            operator_calls: OperatorCalls::default(),
+            operator_calls: OperatorCalls::of_start(options.incarnation),
             server_calls: ServerCalls::default(),
             polls: HeldPolls::default(),
             edges: Edges::new(options.retry_window.as_millis() as Millis, now),
--- a/coordinator/src/core/operator.rs
+++ b/coordinator/src/core/operator.rs
@@ -78,7 +78,8 @@
         for ticket in concerned {
             let Some(pending) = self.operator_calls.get_mut(ticket) else { continue };
             if pending.stage == (Stage::Proposed { index, term }) {
-                self.end_call(ticket, answer_of(&judgement), actions);
+                let answer = answer_of(&judgement, &pending.call);
+                self.end_call(ticket, answer, actions);
             } else {
                 // Another leader's entry took the place: the proposal is lost.
                 pending.stage = Stage::Waiting;
@@ -116,9 +117,14 @@
     }
 }
 
-fn answer_of(judgement: &Judgement) -> OperatorAnswer {
+/// What a judgement tells the operator. A refusal must be final, as the same call may still be on its way to another
+/// node: one that builds on an older version can never be taken, but one that builds on a version that is yet to
+/// come can, so it gets no clear answer.
+fn answer_of(judgement: &Judgement, call: &OperatorCall) -> OperatorAnswer {
+    let builds_after = |version: u64| matches!(call, OperatorCall::Change { base, .. } if *base > version);
     match judgement {
         Judgement::Apply | Judgement::Repeated => OperatorAnswer::Done { body: b"{}".to_vec() },
+        Judgement::Conflict { current } if builds_after(*current) => OperatorAnswer::Unavailable,
         Judgement::Conflict { current } => OperatorAnswer::Conflict { current: *current },
         Judgement::Invalid(invalid) => OperatorAnswer::Invalid { reason: invalid.to_string() },
     }
--- a/coordinator/src/core/operator/table.rs
+++ b/coordinator/src/core/operator/table.rs
@@ -8,7 +8,8 @@
 use std::collections::BTreeMap;
 
 use shaletrail_protocol::inside::OperatorCall;
-use shaletrail_protocol::{Millis, NodeId};
+use shaletrail_protocol::{Incarnation, Millis, NodeId};
+use shaletrail_ring::mix;
 
 use crate::interface::CallId;
 
@@ -72,10 +73,16 @@
 #[derive(Debug, Default)]
 pub struct OperatorCalls {
     pending: BTreeMap<Ticket, Pending>,
-    next: u64,
+    last: u64,
 }
 
 impl OperatorCalls {
+    /// For one start of a coordinator. Other starts give other names, so that an answer that is still on its way to
+    /// an earlier start, which had handed a call on, is no answer to a call of this one.
+    pub fn of_start(incarnation: Incarnation) -> Self {
+        OperatorCalls { last: mix(incarnation.0) << 32, ..OperatorCalls::default() }
+    }
+
     /// Takes a call in; `None` if too many wait.
     pub fn add(&mut self, now: Millis, caller: Caller, call: OperatorCall) -> Option<Ticket> {
         if self.pending.len() >= MOST_CALLS {
@@ -86,8 +93,8 @@
             OperatorCall::Read => 0,
         };
         let until = now + PATIENCE + PATIENCE_PER_MB * megabytes;
-        self.next += 1;
-        let ticket = Ticket(self.next);
+        self.last += 1;
+        let ticket = Ticket(self.last);
         self.pending.insert(ticket, Pending { caller, call, stage: Stage::Waiting, until });
         Some(ticket)
     }
--- a/coordinator/tests/common/mod.rs
+++ b/coordinator/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! One coordinator's decisions, alone with a clock and a disk that a test drives by hand.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod group;
+
 use std::net::Ipv4Addr;
 
 use shaletrail_coordinator::core::Core;
