Let no edge start by what a cut-off or lagging coordinator remembers

Out of touch, a coordinator gave an edge that had just started what it remembered: after a cut of some length old routes, and a share of the repeats counted over its own edges alone. Now it gives nothing, and the edge answers 503 until it has found another. After a start of the whole fleet a coordinator serves as before once a majority answers pings; that takes no leader.

Pings to a majority do not show that the leader is reached. With the one link between a coordinator and the leader cut, it stayed in touch, its replica got no entries, and its edges kept the old configuration for as long as the link was cut. Coordinators now tell each other the version in force, at each change, each second and to one that starts; one that has known of a later version for 600 ms sends its edges elsewhere.

A coordinator that comes back into touch says that the number of edges is unknown for one window of repeats, as it forgot those that polled elsewhere.

--- a/coordinator/src/core/demand/edges.rs
+++ b/coordinator/src/core/demand/edges.rs
@@ -19,13 +19,26 @@
     /// All that were at work within the window over which repeats are counted.
     lately: BTreeMap<NodeId, Millis>,
     window: Millis,
-    started: Millis,
+    /// Since when this coordinator has heard of the edges of all others.
+    hearing_since: Millis,
 }
 
 impl Edges {
     /// Nobody is known. Repeats are counted over `window` milliseconds.
     pub fn new(window: Millis, now: Millis) -> Self {
-        Edges { own: BTreeMap::new(), others: BTreeMap::new(), lately: BTreeMap::new(), window, started: now }
+        Edges {
+            own: BTreeMap::new(),
+            others: BTreeMap::new(),
+            lately: BTreeMap::new(),
+            window,
+            hearing_since: now,
+        }
+    }
+
+    /// This coordinator has come into or out of touch with the others: edges that poll elsewhere may have been
+    /// forgotten meanwhile.
+    pub fn touch_changed(&mut self, now: Millis) {
+        self.hearing_since = now;
     }
 
     /// An edge polls here.
@@ -71,9 +84,10 @@
     }
 
     /// Edges among which the budget of repeats is divided: those that were at work within its window, as they may
-    /// have spent their parts. 0, for unknown, while this coordinator is too young to tell.
+    /// have spent their parts. 0, for unknown, while this coordinator has not heard
+    /// of the others' edges for as long.
     pub fn sharing(&self, now: Millis) -> u32 {
-        if now < self.started + self.window {
+        if now < self.hearing_since + self.window {
             return 0;
         }
         self.lately.len() as u32
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -31,6 +31,7 @@
 use polls::HeldPolls;
 use servers::ServerCalls;
 use shards::Shards;
+use touch::VersionsElsewhere;
 
 /// A coordinator's decisions.
 pub struct Core {
@@ -48,6 +49,7 @@
     holders: Holders,
     /// Whether a majority of the configuration's voters has answered this node of late.
     in_touch: bool,
+    versions_elsewhere: VersionsElsewhere,
     /// The disk counts as sick until then.
     sick_until: Millis,
     /// When the voters are looked at next.
@@ -85,6 +87,7 @@
             sharing_times: SharingTimes::new(now),
             holders,
             in_touch: false,
+            versions_elsewhere: VersionsElsewhere::default(),
             sick_until: 0,
             next_voter_review: now,
             announced_version: 0,
@@ -172,13 +175,14 @@
                 self.edges.told(edges, now);
                 self.holders.demand(now, &reports);
             }
+            CoreMessage::InForce { version } => self.versions_elsewhere.told(now, from, version),
         }
     }
 
     /// What each event ends with.
     fn settle(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.update_touch(now, actions);
-        self.update_members(now);
+        self.update_members(now, actions);
         self.update_voters(now, actions);
         self.advance_calls(now, actions);
         self.run_shards(now, actions);
--- a/coordinator/src/core/polls.rs
+++ b/coordinator/src/core/polls.rs
@@ -29,9 +29,9 @@
     pub(super) fn answer_polls(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let version = self.configuration_version();
         let cursor = self.directory.cursor();
-        let in_touch = self.in_touch;
+        let may_inform = self.may_inform(now);
         let due = |poll: &HeldPoll| {
-            poll.due <= now || !in_touch || poll.config_version < version || poll.cursor != cursor
+            poll.due <= now || !may_inform || poll.config_version < version || poll.cursor != cursor
         };
         for (call, poll) in self.polls.take(due) {
             let reply = Box::new(self.reply_to(now, &poll));
@@ -40,15 +40,8 @@
     }
 
     fn reply_to(&self, now: Millis, poll: &HeldPoll) -> PollReply {
-        // Out of touch, what this node knows may be out of date: the edge asks another, and keeps what it has. One
-        // that has just started and knows nothing serves by this until it has found another.
-        if !self.in_touch && poll.config_version > 0 {
-            return PollReply {
-                cursor: poll.cursor,
-                coordinators: self.coordinators(),
-                isolated: true,
-                ..PollReply::default()
-            };
+        if !self.may_inform(now) {
+            return self.turn_away(poll);
         }
         let news = self.directory.since(poll.cursor);
         let edges = self.edges.list();
@@ -57,13 +50,25 @@
             config: self.shards.configuration().news_since(poll.config_version),
             servers: news.records,
             // A young node has not heard of all servers: what it doesn't know may be there all the same.
-            whole: news.whole && self.in_touch && !self.directory.is_young(now),
+            whole: news.whole && !self.directory.is_young(now),
             cursor: news.cursor,
             coordinators: self.coordinators(),
             edges: self.edges.sharing(now),
             edge_nodes: (edge_list != poll.edge_list).then_some(edges),
             edge_list,
-            isolated: !self.in_touch,
+            isolated: false,
+        }
+    }
+
+    /// What this node knows may be out of date: the edge asks another, and keeps what it has. That holds for one
+    /// that has just started and has nothing as well: without a configuration it refuses all requests for a
+    /// moment, while with an old one it would go by routes that are no longer in force.
+    fn turn_away(&self, poll: &HeldPoll) -> PollReply {
+        PollReply {
+            cursor: poll.cursor,
+            coordinators: self.coordinators(),
+            isolated: true,
+            ..PollReply::default()
         }
     }
 }
--- a/coordinator/src/core/progress.rs
+++ b/coordinator/src/core/progress.rs
@@ -40,11 +40,13 @@
             }
         }
         let version = self.configuration_version();
-        if version != self.announced_version {
+        let is_new = version != self.announced_version;
+        if is_new {
             self.announced_version = version;
             self.holders.configured(self.shards.configuration().view());
             actions.push(Action::Note(Note::Configuration { version }));
         }
+        self.compare_versions(now, is_new, actions);
     }
 }
 
--- a/coordinator/src/core/touch.rs
+++ b/coordinator/src/core/touch.rs
@@ -1,19 +1,83 @@
-//! Whether this node reaches a majority of the voters, and which other coordinators are there.
+//! Whether what this node knows is fresh enough for others to go by, and which other coordinators are there.
+//!
+//! Two things are asked. A majority of the configuration's voters must have answered pings that were *sent* within
+//! [`OUT_OF_TOUCH`]: an answer that lay in a socket for long, as after a freeze, tells of an old ping and counts for
+//! nothing. And no other coordinator may have told for longer than [`BEHIND_FOR`] of a version that is not in force
+//! here: a node may reach a majority and yet not the leader, whose entries then never come.
 
+use std::collections::BTreeMap;
+
+use shaletrail_protocol::inside::CoreMessage;
 use shaletrail_protocol::{Millis, NodeId};
 
 use super::Core;
 use crate::interface::{Action, Note};
 
-/// A node that has not heard from a majority of the voters for so long is out of touch: its edges poll another.
+/// A node whose newest ping that a majority of the voters has answered is older than this is out of touch.
 const OUT_OF_TOUCH: Millis = 600;
+/// A node at which a version that others told of has not come into force for so long is behind.
+const BEHIND_FOR: Millis = 600;
+/// Between two messages that tell the others which version is in force here.
+const TELL_EVERY: Millis = 1_000;
+/// What another coordinator told counts for so long.
+const TOLD_COUNTS: Millis = 3_000;
+/// Coordinators whose versions are kept, at most.
+const MOST_TELLING: usize = 256;
+
+/// The versions that are in force at other coordinators, as they told.
+#[derive(Debug, Default)]
+pub struct VersionsElsewhere {
+    told: BTreeMap<NodeId, (u64, Millis)>,
+    /// Since when a later version than the own one has been known to be in force elsewhere.
+    behind_since: Option<Millis>,
+    next_telling: Millis,
+}
+
+impl VersionsElsewhere {
+    /// Another coordinator tells its version.
+    pub fn told(&mut self, now: Millis, by: NodeId, version: u64) {
+        if self.told.len() < MOST_TELLING || self.told.contains_key(&by) {
+            self.told.insert(by, (version, now));
+        }
+    }
+
+    /// Compares what was told of late with the version in force here.
+    pub fn compare(&mut self, now: Millis, own: u64) {
+        self.told.retain(|_, (_, told)| now.saturating_sub(*told) <= TOLD_COUNTS);
+        if self.told.values().any(|(version, _)| *version > own) {
+            self.behind_since.get_or_insert(now);
+        } else {
+            self.behind_since = None;
+        }
+    }
+
+    /// Whether a later version has been known to be in force elsewhere for too long.
+    pub fn is_behind(&self, now: Millis) -> bool {
+        self.behind_since.is_some_and(|since| now.saturating_sub(since) >= BEHIND_FOR)
+    }
+
+    /// Whether the own version is to be told now, as it is new or was not told for long.
+    fn take_telling(&mut self, now: Millis, is_new: bool) -> bool {
+        let due = is_new || self.next_telling <= now;
+        if due {
+            self.next_telling = now + TELL_EVERY;
+        }
+        due
+    }
+}
 
 impl Core {
+    /// Whether edges may go by what this node knows. Where they may not, they are sent to another one.
+    pub(super) fn may_inform(&self, now: Millis) -> bool {
+        self.in_touch && !self.versions_elsewhere.is_behind(now)
+    }
+
     pub(super) fn update_touch(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let voters: Vec<NodeId> = self.shards.configuration_replica().voters().members().collect();
         let in_touch = !voters.is_empty() && self.membership.answers_majority(now, &voters, OUT_OF_TOUCH);
         if in_touch != self.in_touch {
             self.in_touch = in_touch;
+            self.edges.touch_changed(now);
             actions.push(Action::Note(Note::InTouch(in_touch)));
         }
         self.directory.set_in_touch(now, in_touch);
@@ -21,7 +85,7 @@
         self.directory.set_voters(&voters);
     }
 
-    pub(super) fn update_members(&mut self, now: Millis) {
+    pub(super) fn update_members(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let changed = self.membership.take_changed();
         if changed.is_empty() {
             return;
@@ -29,8 +93,24 @@
         let members = self.membership.members();
         let peers: Vec<NodeId> = members.iter().map(|member| member.node).collect();
         self.directory.set_peers(now, &peers);
+        let version = self.configuration_version();
         for member in members.iter().filter(|member| changed.contains(&member.node)) {
             self.directory.peer_started(now, member.node, member.incarnation);
+            // It may have started with old state, which it should know before it informs edges.
+            if member.node != self.options.node {
+                actions.push(Action::Send { to: member.node, message: CoreMessage::InForce { version } });
+            }
+        }
+    }
+
+    /// Tells the others which version is in force here, and compares it with theirs. `is_new` where it has changed.
+    pub(super) fn compare_versions(&mut self, now: Millis, is_new: bool, actions: &mut Vec<Action>) {
+        let version = self.configuration_version();
+        self.versions_elsewhere.compare(now, version);
+        if self.versions_elsewhere.take_telling(now, is_new) {
+            for to in self.coordinators().into_iter().filter(|node| *node != self.options.node) {
+                actions.push(Action::Send { to, message: CoreMessage::InForce { version } });
+            }
         }
     }
 }
--- /dev/null
+++ b/coordinator/tests/contact.rs
@@ -0,0 +1,346 @@
+//! What coordinators do for others while they are cut off, frozen, behind or just started.
+
+mod common;
+
+use common::configuration;
+use common::group::Group;
+use shaletrail_coordinator::interface::CallId;
+use shaletrail_protocol::inside::{
+    CoreMessage, OperatorAnswer, OperatorCall, PollReply, PollRequest, Presence,
+};
+use shaletrail_protocol::outside::ServerState;
+use shaletrail_protocol::Millis;
+
+/// An edge takes another coordinator at the latest so long after the one it polls has lost contact.
+const TURNED_AWAY_WITHIN: Millis = 700;
+/// The longest time that a poll is held in these stories.
+const HOLD: u32 = 500;
+
+fn is_done(answer: Option<&OperatorAnswer>) -> bool {
+    matches!(answer, Some(OperatorAnswer::Done { .. }))
+}
+
+/// Three or five coordinators that have agreed on version 1.
+fn configured(coordinators: u8) -> Group {
+    let mut group = Group::leading(coordinators);
+    let leader = group.leader();
+    let call = group.replace(leader, 0, &configuration(1, "a.example"));
+    group.run(500);
+    assert!(is_done(group.answer(leader, call)));
+    group.numbers().iter().for_each(|number| assert_eq!(group.core(*number).configuration_version(), 1));
+    group
+}
+
+/// A poll of an edge with this version that knows all servers.
+fn poll(group: &mut Group, number: u8, config_version: u64) -> CallId {
+    let cursor = group.core(number).directory().cursor();
+    group.poll(number, 100, PollRequest { config_version, cursor, hold_ms: HOLD, ..PollRequest::default() })
+}
+
+fn reply(group: &Group, number: u8, call: CallId) -> PollReply {
+    group.reply(number, call).expect("it is answered").clone()
+}
+
+fn brings_nothing(reply: &PollReply) -> bool {
+    reply.isolated
+        && reply.config.is_none()
+        && reply.servers.is_empty()
+        && !reply.whole
+        && reply.edges == 0
+        && reply.edge_nodes.is_none()
+}
+
+#[test]
+fn given_a_coordinator_cut_off_when_an_edge_that_has_just_started_polls_it_then_it_gets_no_old_configuration()
+{
+    // given
+    let mut group = configured(3);
+    let leader = group.leader();
+    let cut = group.others(leader)[0];
+    group.heartbeat(cut, "i-1", ServerState::Ready, 1);
+    group.cut_off(cut, true);
+    group.run(TURNED_AWAY_WITHIN);
+
+    // when
+    let first = poll(&mut group, cut, 0);
+    let known = poll(&mut group, cut, 1);
+
+    // then
+    assert!(brings_nothing(&reply(&group, cut, first)), "{:?}", reply(&group, cut, first));
+    assert!(brings_nothing(&reply(&group, cut, known)), "{:?}", reply(&group, cut, known));
+    assert!(reply(&group, cut, first).coordinators.contains(&common::node(cut)));
+}
+
+#[test]
+fn given_a_whole_fleet_that_starts_again_when_a_majority_answers_then_edges_get_the_configuration_at_once() {
+    // given
+    let mut group = configured(3);
+    group.run(1_000);
+    group.numbers().iter().for_each(|number| group.kill(*number));
+    group.run(1_000);
+
+    // when
+    group.start(1);
+    group.run(300);
+    let alone = poll(&mut group, 1, 0);
+    assert!(brings_nothing(&reply(&group, 1, alone)));
+    group.start(2);
+    let met = group.now;
+    let again = group.run_until(2_000, |group| group.core(1).is_in_touch());
+
+    // then: there need be no leader yet
+    assert!(again);
+    assert!(group.now - met <= 400, "{} ms", group.now - met);
+    let call = poll(&mut group, 1, 0);
+    let news = reply(&group, 1, call).config.expect("the configuration");
+    assert_eq!(news.version, 1);
+}
+
+#[test]
+fn given_a_poll_that_is_held_when_the_coordinator_is_cut_off_then_the_edge_is_sent_elsewhere_in_time() {
+    for way in 0..3 {
+        // given
+        let mut group = configured(3);
+        let leader = group.leader();
+        let cut = group.others(leader)[0];
+        for other in group.others(cut) {
+            match way {
+                0 => group.cut(cut, other, true),
+                1 => group.cut_one_way(cut, other, true),
+                _ => group.cut_one_way(other, cut, true),
+            }
+        }
+
+        // when
+        let begun = group.now;
+        let mut sent_elsewhere = None;
+        while sent_elsewhere.is_none() && group.now < begun + 5_000 {
+            let call = poll(&mut group, cut, 1);
+            group.run_until(HOLD.into(), |group| group.reply(cut, call).is_some());
+            sent_elsewhere = reply(&group, cut, call).isolated.then_some(group.now);
+        }
+
+        // then
+        let after = sent_elsewhere.expect("it is told") - begun;
+        assert!(after <= TURNED_AWAY_WITHIN, "way {way}: {after} ms");
+    }
+}
+
+#[test]
+fn given_a_coordinator_that_was_frozen_when_old_answers_to_its_pings_lie_in_its_sockets_then_they_prove_nothing(
+) {
+    // given
+    let mut group = configured(3);
+    let leader = group.leader();
+    let frozen = group.others(leader)[0];
+    group.run(50);
+    group.freeze(frozen, true);
+    // A poll comes, and a version that it cannot know of, as its links are cut meanwhile.
+    let call = poll(&mut group, frozen, 1);
+    group.run(150);
+    group.cut_off(frozen, true);
+    let change = group.replace(leader, 1, &configuration(2, "b.example"));
+    group.run(5_000);
+    assert!(is_done(group.answer(leader, change)));
+
+    // when: the answers to its last pings, which came while it stood still, are read before the poll
+    group.freeze(frozen, false);
+
+    // then
+    assert!(!group.core(frozen).is_in_touch());
+    assert!(brings_nothing(&reply(&group, frozen, call)), "{:?}", reply(&group, frozen, call));
+}
+
+#[test]
+fn given_a_coordinator_that_reaches_a_majority_but_not_the_leader_when_a_change_is_taken_then_its_edges_move()
+{
+    for coordinators in [3, 5] {
+        // given
+        let mut group = configured(coordinators);
+        let leader = group.leader();
+        let behind = group.others(leader)[0];
+        group.cut(leader, behind, true);
+        group.run(2_000);
+        assert_eq!(group.leader(), leader, "a majority keeps its leader");
+        assert!(group.core(behind).is_in_touch());
+
+        // when
+        let change = group.replace(leader, 1, &configuration(2, "b.example"));
+        group.run_until(1_000, |group| group.answer(leader, change).is_some());
+        assert!(is_done(group.answer(leader, change)));
+        let acknowledged = group.now;
+        let mut moved = None;
+        while moved.is_none() && group.now < acknowledged + 5_000 {
+            let call = poll(&mut group, behind, 1);
+            group.run_until(HOLD.into(), |group| group.reply(behind, call).is_some());
+            let reply = reply(&group, behind, call);
+            moved = (reply.isolated || reply.config.is_some()).then_some(group.now);
+        }
+
+        // then: in time for the tightest bound on configurations, 2 s
+        let after = moved.expect("its edges stay with an old configuration") - acknowledged;
+        assert!(after <= 1_000, "{after} ms");
+
+        // and once it hears the leader, it serves them again
+        group.cut(leader, behind, false);
+        let caught_up = group.run_until(3_000, |group| group.core(behind).configuration_version() == 2);
+        assert!(caught_up);
+        let call = poll(&mut group, behind, 1);
+        assert_eq!(reply(&group, behind, call).config.map(|news| news.version), Some(2));
+    }
+}
+
+#[test]
+fn given_a_cut_leader_when_changes_and_reads_reach_it_then_none_is_confirmed_or_refused() {
+    // given
+    let mut group = configured(3);
+    let leader = group.leader();
+    group.cut_off(leader, true);
+
+    // when
+    let change = group.replace(leader, 1, &configuration(2, "b.example"));
+    let stale = group.replace(leader, 0, &configuration(3, "c.example"));
+    let read = group.operate(leader, OperatorCall::Read);
+    group.run(2_000);
+
+    // then
+    for call in [change, stale, read] {
+        assert_eq!(group.answer(leader, call), Some(&OperatorAnswer::Unavailable));
+    }
+
+    // and when the others have agreed on something else, what it was asked for never comes
+    let next = group.leader();
+    assert_ne!(next, leader);
+    let other = group.replace(next, 1, &configuration(2, "d.example"));
+    group.run(1_000);
+    assert!(is_done(group.answer(next, other)));
+    group.cut_off(leader, false);
+    group.run(3_000);
+    let read = group.operate(leader, OperatorCall::Read);
+    group.run(500);
+    let Some(OperatorAnswer::Done { body }) = group.answer(leader, read) else { panic!("no answer") };
+    assert!(String::from_utf8_lossy(body).contains("d.example"));
+}
+
+#[test]
+fn given_a_server_that_drains_when_its_coordinator_is_cut_off_then_only_another_one_acknowledges() {
+    for state in [Some(ServerState::Draining), None] {
+        // given
+        let mut group = configured(3);
+        let cut = group.others(group.leader())[0];
+        let other = group.others(cut)[0];
+        group.heartbeat(cut, "i-1", ServerState::Ready, 1);
+        group.run(500);
+        group.cut_off(cut, true);
+
+        // when
+        let leave = |group: &mut Group, number| match state {
+            Some(state) => group.heartbeat(number, "i-1", state, 2),
+            None => group.deregister(number, "i-1"),
+        };
+        let here = leave(&mut group, cut);
+        group.run(1_000);
+        let there = leave(&mut group, other);
+        group.run(100);
+
+        // then
+        assert_eq!((group.taken(cut, here), group.taken(other, there)), (Some(false), Some(true)));
+        let knowing = group.others(cut).into_iter().filter(|number| {
+            let record = group.core(*number).directory().record("i-1");
+            record.is_some_and(|record| matches!(record.presence, Presence::Draining | Presence::Gone))
+        });
+        assert_eq!(knowing.count(), 2);
+    }
+}
+
+#[test]
+fn given_a_server_gone_by_its_own_word_when_it_serves_on_and_speaks_late_then_it_stays_gone() {
+    // given: a farewell without a draining before it
+    let mut group = configured(3);
+    group.heartbeat(1, "i-1", ServerState::Ready, 5);
+    group.run(500);
+    let farewell = group.deregister(2, "i-1");
+    group.run(100);
+    assert_eq!(group.taken(2, farewell), Some(true));
+
+    // when: heartbeats from before and after it arrive late, at other coordinators
+    let late = group.heartbeat(3, "i-1", ServerState::Ready, 4);
+    let later = group.heartbeat(1, "i-1", ServerState::Ready, 6);
+    group.run(1_000);
+
+    // then
+    assert_eq!((group.taken(3, late), group.taken(1, later)), (Some(true), Some(true)));
+    for number in group.numbers() {
+        let record = group.core(number).directory().record("i-1").expect("it is remembered");
+        assert_eq!(record.presence, Presence::Gone, "at {number}");
+    }
+}
+
+#[test]
+fn given_a_coordinator_cut_off_when_servers_speak_elsewhere_then_it_takes_none_to_be_silent() {
+    // given
+    let mut group = configured(3);
+    let cut = group.others(group.leader())[0];
+    let other = group.others(cut)[0];
+    group.heartbeat(other, "i-1", ServerState::Ready, 1);
+    group.run(5_000);
+    let presence =
+        |group: &Group, number| group.core(number).directory().record("i-1").map(|record| record.presence);
+    assert_eq!(presence(&group, cut), Some(Presence::Silent), "in touch, it is taken to be silent");
+    for sequence in 2..6 {
+        group.heartbeat(other, "i-1", ServerState::Ready, sequence);
+        group.run(1_000);
+    }
+    assert_eq!(presence(&group, cut), Some(Presence::Ready));
+
+    // when
+    group.cut_off(cut, true);
+    for sequence in 6..26 {
+        group.heartbeat(other, "i-1", ServerState::Ready, sequence);
+        group.run(1_000);
+    }
+
+    // then: nor right after it is back
+    assert_eq!(presence(&group, cut), Some(Presence::Ready));
+    group.cut_off(cut, false);
+    for sequence in 26..32 {
+        group.heartbeat(other, "i-1", ServerState::Ready, sequence);
+        group.run(500);
+        assert_eq!(presence(&group, cut), Some(Presence::Ready));
+    }
+}
+
+#[test]
+fn given_a_coordinator_that_comes_back_from_a_cut_when_it_has_forgotten_edges_then_it_does_not_count_them() {
+    // given: two edges, at two coordinators
+    let mut group = configured(3);
+    let (here, there) = (1, 2);
+    let polls = |group: &mut Group, duration: Millis| {
+        let end = group.now + duration;
+        let mut last = (CallId(0), CallId(0));
+        while group.now < end {
+            last = (
+                group.poll(here, 100, PollRequest { hold_ms: 100, ..PollRequest::default() }),
+                group.poll(there, 101, PollRequest { hold_ms: 100, ..PollRequest::default() }),
+            );
+            group.run(500);
+        }
+        last
+    };
+    let (call, _) = polls(&mut group, 12_000);
+    assert_eq!(reply(&group, here, call).edges, 2);
+
+    // when
+    group.cut_off(here, true);
+    let (call, _) = polls(&mut group, 15_000);
+    assert_eq!(reply(&group, here, call).edges, 0);
+    group.hold(|_, _, message| matches!(message, CoreMessage::Demand { .. }));
+    group.cut_off(here, false);
+    group.run(1_000);
+    let call = poll(&mut group, here, 0);
+
+    // then
+    let reply = reply(&group, here, call);
+    assert!(!reply.isolated);
+    assert_eq!(reply.edges, 0, "not known, and not one alone");
+}
--- a/dataplane/src/poller.rs
+++ b/dataplane/src/poller.rs
@@ -190,9 +190,9 @@
         self.demand.clear();
         self.observed = observed;
         if reply.isolated {
-            // With nothing better known, what such a coordinator remembers is better than nothing.
+            // It may know of others that the settings do not name.
             if self.state.view().version == 0 {
-                self.take_over(reply);
+                self.coordinators.learn(reply.coordinators);
             }
             return IsolatedSnafu.fail();
         }
--- a/hollow/src/ledger.rs
+++ b/hollow/src/ledger.rs
@@ -71,6 +71,7 @@
             CoreMessage::DirectoryAck { .. } => Kind::DirectoryAnswer,
             CoreMessage::Forward { .. } | CoreMessage::Forwarded { .. } => Kind::Forward,
             CoreMessage::Demand { .. } => Kind::Demand,
+            CoreMessage::InForce { .. } => Kind::Membership,
         }
     }
 
--- a/protocol/src/inside.rs
+++ b/protocol/src/inside.rs
@@ -306,6 +306,11 @@
         /// What they reported.
         reports: Vec<EdgeReport>,
     },
+    /// The configuration that is in force at the sender, so that the receiver can tell whether it is behind.
+    InForce {
+        /// Its version.
+        version: u64,
+    },
 }
 
 /// What one edge reported over a span.
--- a/simulation/src/edge.rs
+++ b/simulation/src/edge.rs
@@ -282,9 +282,9 @@
         self.demand.clear();
         self.observed.clear();
         if reply.isolated {
-            // With nothing better known, what such a coordinator remembers is better than nothing.
+            // It may know of others that the settings do not name.
             if self.view.version == 0 {
-                self.take_over(world, reply);
+                self.coordinators.learn(reply.coordinators);
             }
             self.coordinators.failed();
             return world.wake(self.node(), world.now, Timer::PollStep);
