Replace voters that nobody remembers, and let one that ends say so

Cause: a voter was replaced only where the membership had a record of it as absent. Records are dropped a minute after the loss, and a process that starts anew has none; only the configuration's voters were watched. So a voter that was lost long ago, or before the leader's start, or that voted in another shard only, kept its vote for good, and the next loss left no majority. A process told to end left it to the others to find out, so that a second loss right after a planned replacement found it still voting.

Ruled out: keeping all absent members for ever, as a restart forgets them all the same.

Change: all shards' voters are watched, and one of which nothing is known counts as away after the time that a silent member needs for that; a process that ends tells the members, which replace it at once; who votes is reviewed each 50 ms; a newcomer must be alive and may be a few entries behind, as under load it always is.

--- a/cluster/src/membership.rs
+++ b/cluster/src/membership.rs
@@ -4,7 +4,10 @@
 //! a member that misses answers, and takes it to be absent if it does not refute that. What is known travels on
 //! pings and their answers. Seeds that are not members are pinged for ever, ever more rarely, as they may come up
 //! later or never have been coordinators. Apart from monitoring, the voters named by [`Membership::watch`] are
-//! pinged by each coordinator, as it must know whether it reaches the majority itself.
+//! pinged by each coordinator, as it must know whether it reaches the majority itself. One of them of which nothing
+//! is known, as this process has started since it was lost or has forgotten it, is away like one that is absent.
+//!
+//! A member that is about to end says so itself: it is absent for the others from then on, without a suspicion first.
 //!
 //! Incarnations have no order: only a node itself can say that it has started anew, so that what others tell of
 //! another incarnation leads to a ping first.
@@ -35,7 +38,8 @@
     own: MemberRecord,
     table: Table,
     seeds: Vec<NodeId>,
-    watched: BTreeSet<NodeId>,
+    /// The voters, and since when each is watched.
+    watched: BTreeMap<NodeId, Millis>,
     targets: BTreeSet<NodeId>,
     targets_stale: bool,
     probes: BTreeMap<NodeId, Probe>,
@@ -60,7 +64,7 @@
             own,
             table: Table::default(),
             seeds: Vec::new(),
-            watched: BTreeSet::new(),
+            watched: BTreeMap::new(),
             targets: BTreeSet::new(),
             targets_stale: true,
             probes: BTreeMap::new(),
@@ -83,10 +87,22 @@
 
     /// Names the nodes that this one pings whoever monitors them: the current voters.
     pub fn watch(&mut self, nodes: &[NodeId]) {
-        let watched: BTreeSet<NodeId> =
+        let named: BTreeSet<NodeId> =
             nodes.iter().copied().filter(|node| *node != self.own.node).take(MEMBERS_KEPT).collect();
-        self.targets_stale |= watched != self.watched;
-        self.watched = watched;
+        if named.iter().eq(self.watched.keys()) {
+            return;
+        }
+        let since = |node: NodeId| self.watched.get(&node).copied().unwrap_or(self.last_tick);
+        self.watched = named.into_iter().map(|node| (node, since(node))).collect();
+        self.targets_stale = true;
+    }
+
+    /// Tells the members that this process is about to end: it is absent for them from now on.
+    pub fn leave(&mut self, now: Millis) {
+        self.own.state = MemberState::Absent;
+        let mut others = self.alive();
+        others.retain(|node| *node != self.own.node);
+        others.into_iter().for_each(|node| self.ping(now, node));
     }
 
     /// Takes a message of another coordinator.
@@ -156,6 +172,16 @@
         self.record(node).map(|record| record.state)
     }
 
+    /// Whether a node is taken to be away: it is absent, or it has been watched for as long as that takes and neither it
+    /// nor anybody else has told of it.
+    pub fn is_away(&self, node: NodeId) -> bool {
+        let patience = self.options.suspect_ms + self.options.absent_ms;
+        match self.state(node) {
+            Some(state) => state == MemberState::Absent,
+            None => self.watched.get(&node).is_some_and(|since| since + patience <= self.last_tick),
+        }
+    }
+
     /// What is known of a coordinator.
     pub fn record(&self, node: NodeId) -> Option<&MemberRecord> {
         if node == self.own.node {
@@ -189,6 +215,7 @@
         if now.saturating_sub(self.last_tick) > self.options.stall_ms {
             self.probes.values_mut().for_each(|probe| probe.forgive(now));
             self.table.renew_suspicions(now);
+            self.watched.values_mut().for_each(|since| *since = now);
         }
     }
 
@@ -239,7 +266,7 @@
         let alive = self.alive();
         let members: Vec<NodeId> = self.table.records().map(|record| record.node).collect();
         let monitored = members.into_iter().filter(|node| self.is_monitor(*node, &alive));
-        self.targets = monitored.chain(self.watched.iter().copied()).chain(self.strange_seeds()).collect();
+        self.targets = monitored.chain(self.watched.keys().copied()).chain(self.strange_seeds()).collect();
         self.probes.retain(|node, _| self.targets.contains(node));
         self.last_exchange.retain(|node, _| self.targets.contains(node));
         for node in &self.targets {
@@ -264,15 +291,19 @@
         let due: Vec<NodeId> =
             targets.filter(|node| self.probes.get(node).is_some_and(|probe| probe.is_due(now))).collect();
         for node in due {
-            self.last_number += 1;
-            let number = self.last_number;
-            let answers = matches!(self.table.state(node), Some(MemberState::Alive | MemberState::Suspect));
-            if let Some(probe) = self.probes.get_mut(&node) {
-                probe.sent(now, number, !answers, &self.options);
-            }
-            let members = self.tell(now, node, false);
-            self.send(node, MembershipMessage::Ping { number, members });
+            self.ping(now, node);
+        }
+    }
+
+    fn ping(&mut self, now: Millis, node: NodeId) {
+        self.last_number += 1;
+        let number = self.last_number;
+        let answers = matches!(self.table.state(node), Some(MemberState::Alive | MemberState::Suspect));
+        if let Some(probe) = self.probes.get_mut(&node) {
+            probe.sent(now, number, !answers, &self.options);
         }
+        let members = self.tell(now, node, false);
+        self.send(node, MembershipMessage::Ping { number, members });
     }
 
     /// Pings a node at the next tick and at the usual pace from then on, if it is pinged at all.
@@ -307,8 +338,12 @@
         }
     }
 
-    /// Denies a suspicion against this node; what is said of its former incarnations is left alone.
+    /// Denies a suspicion against this node, unless it is about to end; what is said of its former incarnations is left
+    /// alone.
     fn refute(&mut self, record: &MemberRecord) {
+        if self.own.state == MemberState::Absent {
+            return;
+        }
         let suspected = record.state != MemberState::Alive && record.refutation >= self.own.refutation;
         if record.incarnation == self.own.incarnation && suspected {
             self.own.refutation = record.refutation.saturating_add(1);
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -19,8 +19,7 @@
 use shaletrail_cluster::{membership, Membership};
 use shaletrail_configuration::{Change, Judgement};
 use shaletrail_protocol::inside::{
-    CoreMessage, Demand, EdgeIdentity, MemberState, Observation, OperatorAnswer, OperatorCall, PollReply,
-    PollRequest,
+    CoreMessage, Demand, EdgeIdentity, Observation, OperatorAnswer, OperatorCall, PollReply, PollRequest,
 };
 use shaletrail_protocol::outside::Heartbeat;
 use shaletrail_protocol::{Millis, NodeId, ServerId};
@@ -33,12 +32,11 @@
 use orders::Holders;
 use polls::{Polls, Waiting};
 use shards::{Done, Shards, CONFIGURATION};
-use voters::Candidate;
 
 /// A node that has not heard from a majority of the voters for so long is out of touch: its edges poll another.
 const OUT_OF_TOUCH: Millis = 600;
 /// Between two looks at who should vote.
-const VOTERS_EVERY: Millis = 200;
+const VOTERS_EVERY: Millis = 50;
 /// Between two messages that carry demand to the holders of orders.
 const DEMAND_EVERY: Millis = 250;
 /// The same where requests wait for a model or an adapter.
@@ -133,7 +131,10 @@
             Event::EdgeLeft(node) => self.edges.left(node),
             Event::Ordered { order, outcome } => self.holders.ordered(now, order, outcome),
             Event::Reported { server, report } => self.holders.reported(now, &server, report),
-            Event::Stopping => self.hand_over(now),
+            Event::Stopping => {
+                self.hand_over(now);
+                self.membership.leave(now);
+            }
             Event::Seeds(seeds) => self.membership.add_seeds(&seeds),
         }
         self.settle(now, actions);
@@ -425,7 +426,7 @@
             actions.push(Action::Note(Note::InTouch(in_touch)));
         }
         self.directory.set_in_touch(now, in_touch);
-        self.membership.watch(&voters);
+        self.membership.watch(&self.shards.voters());
         self.directory.set_voters(&voters);
     }
 
@@ -449,42 +450,12 @@
         }
         self.next_voters = now + VOTERS_EVERY;
         let size = voters::group_size(self.options.hosts_lost);
-        let members: Vec<(NodeId, MemberState)> =
-            self.membership.members().iter().map(|member| (member.node, member.state)).collect();
         for shard in self.shards.numbers() {
             let Some(replica) = self.shards.replica_mut(shard).filter(|replica| replica.is_leader()) else {
                 continue;
             };
-            let present: Vec<NodeId> = replica.voters().members().collect();
-            // Newcomers are brought up to date first.
-            for (node, state) in &members {
-                if *state == MemberState::Alive && !present.contains(node) {
-                    let _ = replica.add_learner(*node);
-                }
-            }
-            for learner in replica.learners() {
-                let there =
-                    members.iter().any(|(node, state)| *node == learner && *state != MemberState::Absent);
-                if !there {
-                    replica.remove_learner(learner);
-                }
-            }
-            if replica.is_changing_voters() {
-                continue;
-            }
-            let candidate = |node: NodeId, state: MemberState| Candidate {
-                node,
-                absent: state == MemberState::Absent,
-                caught_up: replica
-                    .peer(node)
-                    .is_some_and(|peer| peer.counts && peer.matched >= replica.commit_index()),
-            };
-            let candidates: Vec<Candidate> =
-                members.iter().map(|(node, state)| candidate(*node, *state)).collect();
-            if let Some(wanted) = voters::wanted(&present, &candidates, size) {
-                if replica.change_voters(now, wanted.clone()).is_ok() {
-                    actions.push(Action::Note(Note::Voters { shard, wanted }));
-                }
+            if let Some(wanted) = voters::review(replica, &self.membership, size, now) {
+                actions.push(Action::Note(Note::Voters { shard, wanted }));
             }
         }
     }
--- a/coordinator/src/core/shards.rs
+++ b/coordinator/src/core/shards.rs
@@ -196,6 +196,15 @@
         }
     }
 
+    /// The voters of all shards as this node knows them, each once.
+    pub fn voters(&self) -> Vec<NodeId> {
+        let mut voters: Vec<NodeId> =
+            self.shards.iter().flat_map(|shard| shard.replica.voters().members()).collect();
+        voters.sort_unstable();
+        voters.dedup();
+        voters
+    }
+
     /// Numbers of all shards.
     pub fn numbers(&self) -> std::ops::Range<u32> {
         0..self.shards.len() as u32
--- a/coordinator/src/core/voters.rs
+++ b/coordinator/src/core/voters.rs
@@ -1,6 +1,13 @@
 //! Wanted voters of a shard: the difference between who votes and who should, one change at a time.
 
-use shaletrail_protocol::NodeId;
+use shaletrail_cluster::Membership;
+use shaletrail_consensus::{Index, Replica};
+use shaletrail_protocol::inside::MemberState;
+use shaletrail_protocol::{Millis, NodeId};
+
+/// Entries by which a newcomer may be behind what is committed: under steady load it always is by some, and it has
+/// them before anything is committed that needs it.
+const NEARLY: Index = 16;
 
 /// What a leader sees of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -9,7 +16,7 @@
     pub node: NodeId,
     /// Taken to be away by the membership.
     pub absent: bool,
-    /// Alive, and its log as good as the leader's.
+    /// Alive, readmitted if its disk is new, and its synced log nearly as long as what is committed.
     pub caught_up: bool,
 }
 
@@ -32,6 +39,44 @@
     Some(next)
 }
 
+/// Brings newcomers up to date at the leader of a shard, and changes its voters where others should vote. The voters
+/// that are on their way to being in force, if a change has begun.
+pub fn review(
+    replica: &mut Replica,
+    membership: &Membership,
+    size: usize,
+    now: Millis,
+) -> Option<Vec<NodeId>> {
+    let present: Vec<NodeId> = replica.voters().members().collect();
+    let mut known: Vec<NodeId> = membership.members().iter().map(|member| member.node).collect();
+    known.extend(present.iter().copied().filter(|voter| membership.record(*voter).is_none()));
+    let is_alive = |node: NodeId| membership.state(node) == Some(MemberState::Alive);
+    for node in known.iter().copied().filter(|node| is_alive(*node) && !present.contains(node)) {
+        // Refused where there are too many already.
+        let _ = replica.add_learner(node);
+    }
+    for learner in replica.learners() {
+        if matches!(membership.state(learner), None | Some(MemberState::Absent)) {
+            replica.remove_learner(learner);
+        }
+    }
+    if replica.is_changing_voters() {
+        return None;
+    }
+    let candidate = |node: NodeId| Candidate {
+        node,
+        absent: membership.is_away(node),
+        caught_up: is_alive(node) && is_caught_up(replica, node),
+    };
+    let candidates: Vec<Candidate> = known.into_iter().map(candidate).collect();
+    let wanted = wanted(&present, &candidates, size)?;
+    replica.change_voters(now, wanted.clone()).ok().map(|()| wanted)
+}
+
+fn is_caught_up(replica: &Replica, node: NodeId) -> bool {
+    replica.peer(node).is_some_and(|peer| peer.counts && peer.matched + NEARLY >= replica.commit_index())
+}
+
 /// The number of voters that a shard needs so that `hosts_lost` of them may be lost.
 pub fn group_size(hosts_lost: u32) -> usize {
     2 * hosts_lost as usize + 1
--- /dev/null
+++ b/coordinator/tests/voters.rs
@@ -0,0 +1,254 @@
+//! Coordinators are replaced and lose their disks, and one more is lost in the very moment in which that is made good.
+
+mod common;
+mod fleet;
+
+use common::node;
+use fleet::{Fleet, FAREWELL};
+use shaletrail_coordinator::core::shards::CONFIGURATION;
+use shaletrail_protocol::{Millis, NodeId};
+
+/// How long a machine that is back, or new, counts as lost (`syncS`), in the deployments with one and with two losses.
+const SYNC: [Millis; 2] = [4_000, 6_000];
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
+/// Longer than a member that is absent is remembered.
+const FORGOTTEN: Millis = 70_000;
+
+fn nodes(numbers: &[u8]) -> Vec<NodeId> {
+    numbers.iter().map(|number| node(*number)).collect()
+}
+
+/// The machines without some of them, in an order that differs by the seed.
+fn rest(fleet: &mut Fleet, of: &[NodeId], without: &[NodeId]) -> Vec<NodeId> {
+    let mut rest: Vec<NodeId> = of.iter().copied().filter(|node| !without.contains(node)).collect();
+    let turn = fleet.below(rest.len() as u64) as usize;
+    rest.rotate_left(turn);
+    rest
+}
+
+/// What a second loss does to a machine.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    /// It loses power and does not come back.
+    ForGood,
+    /// It loses its disk and starts anew at once.
+    Disk,
+}
+
+impl Loss {
+    fn strike(self, fleet: &mut Fleet, node: NodeId) {
+        fleet.wipe(node);
+        if let Loss::Disk = self {
+            fleet.start(node);
+        }
+    }
+}
+
+/// Machines are removed for good and others join; in the moment in which the voters of all shards are changed, as many
+/// are lost again. The time from the start of the newcomers to that moment.
+fn replace_then_lose(hosts_lost: usize, seed: u64, loss: Loss) -> Millis {
+    // given
+    let mut fleet = Fleet::founded(hosts_lost, seed);
+    let first = fleet.running();
+    let removed = rest(&mut fleet, &first, &[])[..hosts_lost].to_vec();
+    fleet.change();
+    removed.iter().for_each(|node| fleet.wipe(*node));
+    let newcomers: Vec<NodeId> = (0..hosts_lost as u8).map(|number| node(20 + number)).collect();
+    let started = fleet.now;
+    newcomers.iter().for_each(|newcomer| fleet.join(*newcomer, &first));
+
+    // when
+    let voters = [rest(&mut fleet, &first, &removed), newcomers.clone()].concat();
+    fleet.await_voters(&voters);
+    let replaced_within = fleet.now - started;
+    let lost = rest(&mut fleet, &voters, &[])[..hosts_lost].to_vec();
+    lost.iter().for_each(|node| loss.strike(&mut fleet, *node));
+
+    // then
+    fleet.assert_in_service();
+    replaced_within
+}
+
+#[test]
+fn given_a_replacement_when_another_machine_is_lost_for_good_in_the_moment_it_is_done_then_nothing_is_lost() {
+    for hosts_lost in [1, 2] {
+        for seed in SEEDS {
+            replace_then_lose(hosts_lost, seed, Loss::ForGood);
+        }
+    }
+}
+
+#[test]
+fn given_a_replacement_when_another_disk_is_lost_in_the_moment_it_is_done_then_nothing_is_lost() {
+    for hosts_lost in [1, 2] {
+        for seed in SEEDS {
+            replace_then_lose(hosts_lost, seed, Loss::Disk);
+        }
+    }
+}
+
+#[test]
+fn given_a_replacement_when_it_begins_then_all_shards_have_changed_before_one_more_may_be_lost() {
+    for (hosts_lost, bound) in [1, 2].into_iter().zip(SYNC) {
+        let longest = SEEDS.map(|seed| replace_then_lose(hosts_lost, seed, Loss::ForGood)).max();
+        println!("{hosts_lost} replaced within {longest:?} ms of their start");
+        assert!(longest.is_some_and(|longest| longest < bound), "{longest:?}");
+    }
+}
+
+#[test]
+fn given_a_lost_disk_when_another_machine_is_lost_in_the_moment_of_the_readmission_then_nothing_is_lost() {
+    for hosts_lost in [1, 2] {
+        for seed in SEEDS {
+            for loss in [Loss::ForGood, Loss::Disk] {
+                // given
+                let mut fleet = Fleet::founded(hosts_lost, seed);
+                let voters = fleet.running();
+                fleet.change();
+                let wiped = rest(&mut fleet, &voters, &[])[..hosts_lost].to_vec();
+                wiped.iter().for_each(|node| Loss::Disk.strike(&mut fleet, *node));
+
+                // when: their disks say so
+                let readmitted = fleet.run_until(SYNC[hosts_lost - 1], |fleet| {
+                    wiped.iter().all(|node| !fleet.is_forgetful_on_disk(*node))
+                });
+                assert!(readmitted, "{}", fleet.describe());
+                let lost = rest(&mut fleet, &voters, &wiped)[..hosts_lost].to_vec();
+                lost.iter().for_each(|node| loss.strike(&mut fleet, *node));
+
+                // then
+                fleet.assert_in_service();
+            }
+        }
+    }
+}
+
+#[test]
+fn given_a_voter_lost_long_ago_when_a_machine_joins_then_it_takes_its_place() {
+    for seed in SEEDS {
+        // given: nobody remembers the member
+        let mut fleet = Fleet::founded(1, seed);
+        let first = fleet.running();
+        let removed = rest(&mut fleet, &first, &[])[0];
+        fleet.wipe(removed);
+        fleet.run(FORGOTTEN);
+
+        // when
+        let staying = rest(&mut fleet, &first, &[removed]);
+        fleet.join(node(20), &first);
+        fleet.run(SYNC[0]);
+
+        // then
+        assert!(fleet.has_voters(&[&staying[..], &[node(20)]].concat()), "{}", fleet.describe());
+        fleet.wipe(staying[0]);
+        fleet.assert_in_service();
+    }
+}
+
+#[test]
+fn given_a_voter_that_no_running_process_has_ever_heard_when_a_machine_joins_then_it_takes_its_place() {
+    for seed in SEEDS {
+        // given: all lose power, and one of them does not come back
+        let mut fleet = Fleet::founded(1, seed);
+        let first = fleet.running();
+        let removed = rest(&mut fleet, &first, &[])[0];
+        let staying = rest(&mut fleet, &first, &[removed]);
+        fleet.wipe(removed);
+        staying.iter().for_each(|node| fleet.lose_power(*node));
+        fleet.run(500);
+        staying.iter().for_each(|node| fleet.start(*node));
+
+        // when
+        fleet.join(node(20), &first);
+        fleet.run(SYNC[0]);
+
+        // then
+        assert!(fleet.has_voters(&[&staying[..], &[node(20)]].concat()), "{}", fleet.describe());
+        fleet.wipe(staying[0]);
+        fleet.assert_in_service();
+    }
+}
+
+#[test]
+fn given_two_removed_and_replaced_when_a_newcomer_leads_then_it_replaces_the_one_it_never_heard() {
+    for seed in SEEDS {
+        // given: one of two lost voters is replaced
+        let mut fleet = Fleet::founded(2, seed);
+        let first = fleet.running();
+        let removed = rest(&mut fleet, &first, &[])[..2].to_vec();
+        let staying = rest(&mut fleet, &first, &removed);
+        removed.iter().for_each(|node| fleet.wipe(*node));
+        fleet.join(node(20), &first);
+        let has_come_in = |fleet: &Fleet| {
+            fleet.shards().all(|shard| {
+                let leader = fleet.leader_of(shard);
+                leader.is_some_and(|leader| {
+                    let replica = fleet.replica(leader, shard);
+                    !replica.is_changing_voters() && replica.voters().contains(node(20))
+                })
+            })
+        };
+        assert!(fleet.run_until(SYNC[1], has_come_in), "{}", fleet.describe());
+
+        // when: all of them start anew, so that nobody remembers the other one
+        let running = fleet.running();
+        running.iter().for_each(|node| fleet.lose_power(*node));
+        running.iter().for_each(|node| fleet.start(*node));
+        fleet.join(node(21), &running[..3]);
+        fleet.run(SYNC[1]);
+
+        // then
+        assert!(fleet.has_voters(&[&staying[..], &nodes(&[20, 21])].concat()), "{}", fleet.describe());
+        fleet.wipe(staying[0]);
+        fleet.wipe(staying[1]);
+        fleet.assert_in_service();
+    }
+}
+
+#[test]
+fn given_a_machine_that_leaves_as_planned_when_its_successor_is_there_then_one_more_may_be_lost_at_once() {
+    for seed in SEEDS {
+        // given: the successor has had its time
+        let mut fleet = Fleet::founded(1, seed);
+        let first = fleet.running();
+        fleet.join(node(20), &first);
+        fleet.run(SYNC[0]);
+        fleet.change();
+
+        // when: a machine is told to end, and as soon as it has, another is lost
+        let leaving = rest(&mut fleet, &first, &[])[0];
+        fleet.tell_to_end(leaving);
+        fleet.run(FAREWELL);
+        fleet.wipe(leaving);
+        let staying = rest(&mut fleet, &first, &[leaving]);
+        fleet.wipe(staying[0]);
+
+        // then
+        fleet.assert_in_service();
+    }
+}
+
+#[test]
+fn given_changes_all_the_time_when_a_newcomer_has_a_slow_disk_then_it_takes_the_place_of_the_lost_one() {
+    for seed in SEEDS {
+        // given
+        let mut fleet = Fleet::founded(1, seed);
+        let first = fleet.running();
+        let removed = rest(&mut fleet, &first, &[])[0];
+        let staying = rest(&mut fleet, &first, &[removed]);
+        fleet.wipe(removed);
+
+        // when
+        let end = fleet.now + SYNC[0];
+        fleet.add(node(20), &first);
+        fleet.machine(node(20)).sync_ms = 150;
+        fleet.start(node(20));
+        while fleet.now < end {
+            fleet.change();
+        }
+
+        // then
+        let voters = [&staying[..], &[node(20)]].concat();
+        assert!(fleet.has_voters_in(CONFIGURATION, &voters), "{}", fleet.describe());
+    }
+}
