--- a/coordinator/src/core/voters.rs
+++ b/coordinator/src/core/voters.rs
@@ -5,6 +5,11 @@
 use shaletrail_protocol::inside::MemberState;
 use shaletrail_protocol::{Millis, NodeId};
 
+use super::Core;
+use crate::interface::{Action, Note};
+
+/// Between two looks at who should vote.
+const VOTERS_EVERY: Millis = 50;
 /// Entries by which a newcomer may be behind what is committed: under steady load it always is by some, and it has
 /// them before anything is committed that needs it.
 const NEARLY: Index = 16;
@@ -81,3 +86,22 @@
 pub fn group_size(hosts_lost: u32) -> usize {
     2 * hosts_lost as usize + 1
 }
+
+impl Core {
+    /// Compares who votes with who should, shard by shard, where this node leads.
+    pub(super) fn update_voters(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if now < self.next_voter_review {
+            return;
+        }
+        self.next_voter_review = now + VOTERS_EVERY;
+        let size = group_size(self.options.hosts_lost);
+        for shard in self.shards.numbers() {
+            let Some(replica) = self.shards.replica_mut(shard).filter(|replica| replica.is_leader()) else {
+                continue;
+            };
+            if let Some(wanted) = review(replica, &self.membership, size, now) {
+                actions.push(Action::Note(Note::Voters { shard, wanted }));
+            }
+        }
+    }
+}
