--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -119,7 +119,10 @@
             Event::EdgeLeft(node) => self.edges.left(node),
             Event::Ordered { order, outcome } => self.holders.ordered(now, order, outcome),
             Event::Reported { server, report } => self.holders.reported(now, &server, report),
-            Event::Stopping => self.hand_over(now),
+            Event::Stopping => {
+                self.hand_over(now);
+                self.membership.leave(now);
+            }
             Event::Seeds(seeds) => self.membership.add_seeds(&seeds),
         }
         self.settle(now, actions);
--- a/coordinator/src/core/touch.rs
+++ b/coordinator/src/core/touch.rs
@@ -81,7 +81,7 @@
             actions.push(Action::Note(Note::InTouch(in_touch)));
         }
         self.directory.set_in_touch(now, in_touch);
-        self.membership.watch(&voters);
+        self.membership.watch(&self.shards.voters());
         self.directory.set_voters(&voters);
     }
 
