Aim histories of a group at hand-overs, promises, deposed leaders and power losses

The histories of a group drew hand-overs, restarts within a lease and entries left behind by deposed leaders too seldom: the promise to a leader and the own term before a commit were held by one unit test each. Short scenes with random times bring these cases about in each seed. The group keeps copies of chosen messages, so that they come once more, much later.

--- /dev/null
+++ b/consensus/tests/aimed.rs
@@ -0,0 +1,299 @@
+//! Histories that aim at the hard cases: short scenes with random times, each drawn from a seed and watched by the
+//! judge. `SHALETRAIL_SEEDS` says how many of each kind are played.
+
+mod group;
+
+use group::history::tight;
+use group::{Conditions, Group};
+use rand::Rng;
+use shaletrail_consensus::{Message, Role};
+use shaletrail_protocol::{Millis, NodeId};
+
+/// Histories of each kind where the environment doesn't say.
+const USUAL_SEEDS: u64 = 30;
+/// Between two scenes the group is whole for as long at most.
+const CALM: Millis = 400;
+/// After the last scene, so that a late candidate no longer replaces the leader.
+const RECOVERY: Millis = 3000;
+
+fn play_all(first_seed: u64, play: fn(u64) -> Group) {
+    let seeds = std::env::var("SHALETRAIL_SEEDS").ok().and_then(|value| value.parse().ok());
+    for seed in first_seed..first_seed + seeds.unwrap_or(USUAL_SEEDS) {
+        println!("seed {seed}");
+        let mut group = play(seed);
+        mend(&mut group);
+        group.run(RECOVERY);
+        group.commit_one();
+        group.settle();
+        group.machines.values().for_each(|machine| group.judge.has_all_acknowledged(machine));
+    }
+}
+
+/// Mends everything, and waits for a leader that has led for a random time.
+fn mend(group: &mut Group) -> NodeId {
+    group.heal();
+    group.elect();
+    let calm = draw(group, CALM);
+    group.run(calm);
+    group.elect()
+}
+
+fn draw(group: &mut Group, most: Millis) -> Millis {
+    group.random.random_range(0..=most)
+}
+
+fn run_up_to(group: &mut Group, most: Millis) {
+    let duration = draw(group, most);
+    group.run(duration);
+}
+
+fn coin(group: &mut Group) -> bool {
+    group.random.random_bool(0.5)
+}
+
+fn any_of(group: &mut Group, nodes: &[NodeId]) -> NodeId {
+    nodes[group.random.random_range(0..nodes.len())]
+}
+
+fn others(group: &Group, leader: NodeId) -> Vec<NodeId> {
+    group.machines.keys().copied().filter(|node| *node != leader).collect()
+}
+
+fn leaders(group: &Group) -> Vec<NodeId> {
+    group.running().into_iter().filter(|node| group.replica(*node).is_leader()).collect()
+}
+
+/// Proposes and reads at all that take themselves for the leader.
+fn ask_all(group: &mut Group) {
+    for leader in leaders(group) {
+        group.propose(leader);
+        group.read(leader);
+    }
+}
+
+#[test]
+fn given_hand_overs_that_come_late_and_twice_when_a_leader_is_cut_off_then_its_lease_is_respected() {
+    play_all(10_000, |seed| {
+        let mut group = Group::founded(if seed % 3 == 0 { 5 } else { 3 }, seed);
+        group.keeps =
+            |message| matches!(message, Message::TimeoutNow { .. } | Message::Vote { handed_over: true, .. });
+        for _ in 0..6 {
+            // A hand-over, which may be interrupted.
+            let leader = mend(&mut group);
+            group.act(leader, |replica, now| replica.hand_over(now));
+            run_up_to(&mut group, 10);
+            match draw(&mut group, 3) {
+                0 => group.crash(leader),
+                1 | 2 => group.isolate(leader),
+                _ => {}
+            }
+            run_up_to(&mut group, 100);
+            // A leader that is cut off while it holds the lease, and messages of hand-overs that come now.
+            let leader = mend(&mut group);
+            group.isolate(leader);
+            for _ in 0..3 {
+                run_up_to(&mut group, 20);
+                group.replay_one();
+                ask_all(&mut group);
+            }
+            group.run(300);
+        }
+        group
+    });
+}
+
+#[test]
+fn given_candidates_held_up_by_their_disks_when_the_voters_hear_the_leader_again_then_its_lease_is_respected()
+{
+    play_all(20_000, |seed| {
+        let mut group = Group::founded(3, seed);
+        for _ in 0..4 {
+            held_up_candidate(&mut group);
+        }
+        group
+    });
+}
+
+/// A leader is cut off for less than it takes to step down, a voter gathers pre-votes and is held up by its disk,
+/// the third voter hears the leader again and may restart, and then the request for its vote arrives.
+fn held_up_candidate(group: &mut Group) {
+    let leader = mend(group);
+    let others = others(group, leader);
+    group.isolate(leader);
+    others.iter().for_each(|node| group.machine(*node).is_disk_stalled = true);
+    let candidate = |group: &Group| others.iter().copied().find(|node| group.role(*node) == Role::Candidate);
+    let stands = group.run_until(950, |group| candidate(group).is_some());
+    let Some(candidate) = candidate(group).filter(|_| stands) else { return };
+    let voter = others.into_iter().find(|node| *node != candidate).expect("a third voter");
+    group.machine(voter).is_disk_stalled = false;
+    group.cuts.clear();
+    group.partition(&[leader], &[candidate]);
+    run_up_to(group, 300);
+    if coin(group) {
+        group.crash(voter);
+        group.restart(voter);
+        run_up_to(group, 200);
+    }
+    group.machine(candidate).is_disk_stalled = false;
+    group.run(100);
+}
+
+#[test]
+fn given_deposed_leaders_that_return_when_each_leaves_entries_behind_then_nothing_acknowledged_is_lost() {
+    play_all(30_000, |seed| {
+        let mut group = Group::founded_with(if seed % 3 == 0 { 5 } else { 3 }, seed, tight);
+        let mut cut_off: Vec<NodeId> = Vec::new();
+        for _ in 0..10 {
+            // The leader is cut off or stopped at an awkward moment, with entries that few others hold.
+            if let Some(leader) = group.leader() {
+                ask_all(&mut group);
+                run_up_to(&mut group, 15);
+                ask_all(&mut group);
+                if coin(&mut group) {
+                    group.crash(leader);
+                } else {
+                    group.isolate(leader);
+                }
+                cut_off.push(leader);
+            }
+            // An earlier one returns, so that a majority is there.
+            while cut_off.len() > (group.machines.len() - 1) / 2 {
+                let back = cut_off.remove(0);
+                group.cuts.retain(|(from, to)| *from != back && *to != back);
+                group.restart(back);
+            }
+            for node in cut_off.clone() {
+                group.isolate(node);
+            }
+            let cut = cut_off.clone();
+            group.run_until(3000, |group| leaders(group).into_iter().any(|leader| !cut.contains(&leader)));
+            run_up_to(&mut group, 10);
+        }
+        group
+    });
+}
+
+#[test]
+fn given_two_candidates_of_one_term_when_the_voter_between_loses_power_then_one_of_them_leads_at_most() {
+    play_all(40_000, |seed| {
+        let mut group = Group::founded(3, seed);
+        group.keeps = |message| matches!(message, Message::Vote { .. });
+        for _ in 0..4 {
+            split_vote(&mut group);
+        }
+        group
+    });
+}
+
+/// Two voters that don't hear each other stand in the same term; the one between loses power around its answer.
+fn split_vote(group: &mut Group) {
+    let between = mend(group);
+    let candidates = others(group, between);
+    group.partition(&[candidates[0]], &[candidates[1]]);
+    group.freeze(between);
+    let seed = u64::from(group.random.random::<u32>());
+    for candidate in &candidates {
+        group.machine(*candidate).is_disk_stalled = true;
+    }
+    group.run(700 + seed % 200);
+    group.thaw(between);
+    let both_stand = |group: &Group| {
+        let stands = |node: &NodeId| group.role(*node) == Role::Candidate;
+        candidates.iter().all(stands) && group.term(candidates[0]) == group.term(candidates[1])
+    };
+    if !group.run_until(1500, both_stand) {
+        return;
+    }
+    group.conditions = Conditions { sync_ms: 40, ..Conditions::CALM };
+    for candidate in &candidates {
+        group.machine(*candidate).is_disk_stalled = false;
+    }
+    run_up_to(group, 60);
+    group.crash(between);
+    group.restart(between);
+    for _ in 0..30 {
+        group.run(30);
+        group.replay_one();
+    }
+}
+
+#[test]
+fn given_slow_disks_when_machines_lose_power_around_what_they_promise_then_nothing_acknowledged_is_lost() {
+    play_all(50_000, |seed| {
+        let mut group = Group::founded_with(if seed % 3 == 0 { 5 } else { 3 }, seed, tight);
+        for _ in 0..15 {
+            group.elect();
+            let sync_ms = 1 + draw(&mut group, 150);
+            group.conditions = Conditions { sync_ms, ..Conditions::CALM };
+            for _ in 0..draw(&mut group, 6) {
+                ask_all(&mut group);
+                run_up_to(&mut group, 30);
+            }
+            let nodes: Vec<NodeId> = group.machines.keys().copied().collect();
+            let slow = any_of(&mut group, &nodes);
+            group.machine(slow).is_disk_stalled = coin(&mut group);
+            let all = coin(&mut group);
+            for node in nodes {
+                if all || coin(&mut group) {
+                    group.crash(node);
+                }
+            }
+            run_up_to(&mut group, 200);
+            group.heal();
+            let sync_ms = 1 + draw(&mut group, 150);
+            group.conditions = Conditions { sync_ms, ..Conditions::CALM };
+        }
+        group
+    });
+}
+
+#[test]
+fn given_messages_of_former_terms_when_they_come_late_then_the_group_is_not_misled() {
+    play_all(60_000, |seed| {
+        let mut group = Group::founded_with(if seed % 3 == 0 { 5 } else { 3 }, seed, tight);
+        group.keeps = |_| true;
+        for _ in 0..12 {
+            let leader = mend(&mut group);
+            match draw(&mut group, 3) {
+                0 => group.crash(leader),
+                1 => group.isolate(leader),
+                2 => _ = group.act(leader, |replica, now| replica.hand_over(now)),
+                _ => {}
+            }
+            for _ in 0..12 {
+                ask_all(&mut group);
+                for _ in 0..draw(&mut group, 4) {
+                    group.replay_one();
+                }
+                run_up_to(&mut group, 100);
+                let nodes = group.running();
+                let compacts = any_of(&mut group, &nodes);
+                group.machine(compacts).compact();
+            }
+        }
+        group
+    });
+}
+
+#[test]
+fn given_a_leader_that_was_replaced_when_old_answers_reach_it_then_it_confirms_no_read() {
+    play_all(70_000, |seed| {
+        let mut group = Group::founded(3, seed);
+        group.keeps =
+            |message| matches!(message, Message::HeartbeatAnswer { .. } | Message::AppendAnswer { .. });
+        for _ in 0..5 {
+            let former = mend(&mut group);
+            group.isolate(former);
+            group.run_until(990, |group| group.leader().is_some_and(|leader| leader != former));
+            run_up_to(&mut group, 20);
+            for _ in 0..6 {
+                ask_all(&mut group);
+                for _ in 0..6 {
+                    group.replay_one();
+                }
+                group.run(10);
+            }
+        }
+        group
+    });
+}
--- a/consensus/tests/group/history.rs
+++ b/consensus/tests/group/history.rs
@@ -37,7 +37,7 @@
 }
 
 /// Small limits, so that batches, windows and snapshots are cut often.
-fn tight(options: &mut Options) {
+pub fn tight(options: &mut Options) {
     options.max_append_bytes = 200;
     options.max_probe_bytes = 50;
     options.max_in_flight_bytes = 400;
--- a/consensus/tests/group/mod.rs
+++ b/consensus/tests/group/mod.rs
@@ -20,6 +20,8 @@
 
 /// Between two looks at what is due, in milliseconds.
 const STEP: Millis = 5;
+/// Messages that are kept to come once more.
+const MAX_KEPT: usize = 256;
 
 /// How links and disks behave.
 #[derive(Clone, Debug)]
@@ -61,6 +63,9 @@
     pub filter: Option<Filter>,
     /// One-way cuts.
     pub cuts: BTreeSet<(NodeId, NodeId)>,
+    /// Which messages are kept, whether they arrive or not, to come once more by `replay_one`.
+    pub keeps: fn(&Message) -> bool,
+    kept: Vec<Flight>,
     /// Messages sent so far, by name.
     pub sent: BTreeMap<&'static str, u64>,
     /// The last round that each leader sent a heartbeat in.
@@ -106,6 +111,8 @@
             random: Pcg32::seed_from_u64(seed),
             filter: None,
             cuts: BTreeSet::new(),
+            keeps: |_| false,
+            kept: Vec::new(),
             sent: BTreeMap::new(),
             rounds_sent: BTreeMap::new(),
             flights: BTreeMap::new(),
@@ -266,6 +273,9 @@
         }
         let encoded = bitcode::encode(&message);
         let message: Message = bitcode::decode(&encoded).expect("messages decode");
+        if (self.keeps)(&message) {
+            self.keep(Flight { from, to, message: message.clone() });
+        }
         let passes = self.filter.as_mut().is_none_or(|filter| filter(from, to, &message));
         if !passes || self.cuts.contains(&(from, to)) || self.happens(self.conditions.lost) {
             return;
@@ -276,6 +286,24 @@
         self.put_on_the_way(Flight { from, to, message });
     }
 
+    fn keep(&mut self, flight: Flight) {
+        if self.kept.len() < MAX_KEPT {
+            self.kept.push(flight);
+        } else {
+            let place = self.random.random_range(0..MAX_KEPT);
+            self.kept[place] = flight;
+        }
+    }
+
+    /// Lets a message that was sent before come once more, whatever the cuts: it has been on its way for long.
+    pub fn replay_one(&mut self) {
+        if !self.kept.is_empty() {
+            let place = self.random.random_range(0..self.kept.len());
+            let flight = self.kept[place].clone();
+            self.put_on_the_way(flight);
+        }
+    }
+
     /// A message that a test makes up.
     pub fn forge(&mut self, from: NodeId, to: NodeId, message: Message) {
         self.put_on_the_way(Flight { from, to, message });
