Never refuse a change that was taken and forgotten

A change that was taken and came again after 4,096 others was refused with the current version, as it was no longer remembered and built on an old one. The operator's protocol wants it acknowledged again or left without a clear answer.

--- a/configuration/src/log.rs
+++ b/configuration/src/log.rs
@@ -66,42 +66,63 @@
     }
 }
 
-/// Contents of the latest changes that were taken.
+/// A change that was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub(crate) struct TakenChange {
+    /// The version that it built on; rises from one taken change to the next.
+    pub(crate) base: u64,
+    /// What it was.
+    pub(crate) content: ContentHash,
+}
+
+/// The latest changes that were taken.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Taken {
-    order: VecDeque<ContentHash>,
+    order: VecDeque<TakenChange>,
     contents: HashSet<ContentHash>,
+    /// The base of the newest change that was forgotten.
+    forgotten: Option<u64>,
 }
 
 impl Taken {
-    /// Whether a change was taken.
+    /// As it was saved: what is remembered, oldest first, and the base of the newest change that is not.
+    pub(crate) fn restore(changes: Vec<TakenChange>, forgotten: Option<u64>) -> Self {
+        let mut taken = Taken { forgotten, ..Taken::default() };
+        changes.into_iter().for_each(|change| taken.push(change));
+        taken
+    }
+
+    /// Whether a change was taken and is remembered.
     pub(crate) fn contains(&self, content: ContentHash) -> bool {
         self.contents.contains(&content)
     }
 
+    /// Whether a change that built on `base` may have been taken and is not remembered any more.
+    pub(crate) fn may_have_forgotten(&self, base: u64) -> bool {
+        self.forgotten.is_some_and(|newest| base <= newest)
+    }
+
     /// Remembers a change; the oldest one goes where there are too many.
-    pub(crate) fn push(&mut self, content: ContentHash) {
-        if !self.contents.insert(content) {
+    pub(crate) fn push(&mut self, change: TakenChange) {
+        if !self.contents.insert(change.content) {
             return;
         }
-        self.order.push_back(content);
+        self.order.push_back(change);
         if self.order.len() > MOST_TAKEN {
             if let Some(oldest) = self.order.pop_front() {
-                self.contents.remove(&oldest);
+                self.contents.remove(&oldest.content);
+                self.forgotten = Some(oldest.base);
             }
         }
     }
 
     /// All that is remembered, oldest first.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = ContentHash> + '_ {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = TakenChange> + '_ {
         self.order.iter().copied()
     }
-}
 
-impl FromIterator<ContentHash> for Taken {
-    fn from_iter<I: IntoIterator<Item = ContentHash>>(contents: I) -> Self {
-        let mut taken = Taken::default();
-        contents.into_iter().for_each(|content| taken.push(content));
-        taken
+    /// The base of the newest change that was forgotten.
+    pub(crate) fn forgotten(&self) -> Option<u64> {
+        self.forgotten
     }
 }
--- a/configuration/src/snapshot.rs
+++ b/configuration/src/snapshot.rs
@@ -3,10 +3,9 @@
 use bitcode::{Decode, Encode};
 use snafu::ResultExt;
 
-use crate::content::ContentHash;
 use crate::document::{Document, ItemList, Stored};
 use crate::error::{InvalidContentSnafu, Malformed, UndecodableSnafu};
-use crate::log::LogEntry;
+use crate::log::{LogEntry, Taken, TakenChange};
 use crate::state::ConfigState;
 
 /// All that a state holds but what is derived from the document.
@@ -15,7 +14,8 @@
     version: u64,
     sections: Vec<SavedSection<'a>>,
     log: Vec<LogEntry>,
-    taken: Vec<ContentHash>,
+    taken: Vec<TakenChange>,
+    forgotten: Option<u64>,
 }
 
 #[derive(Encode, Decode)]
@@ -70,6 +70,7 @@
             sections: sections.collect(),
             log: self.log().entries().cloned().collect(),
             taken: self.taken().iter().collect(),
+            forgotten: self.taken().forgotten(),
         })
     }
 
@@ -83,7 +84,8 @@
         for section in &saved.sections {
             document.put(section.key.to_owned(), section.content.stored());
         }
-        let (log, taken) = (saved.log.into_iter().collect(), saved.taken.into_iter().collect());
-        ConfigState::from_parts(saved.version, document, log, taken).context(InvalidContentSnafu)
+        let taken = Taken::restore(saved.taken, saved.forgotten);
+        ConfigState::from_parts(saved.version, document, saved.log.into_iter().collect(), taken)
+            .context(InvalidContentSnafu)
     }
 }
--- a/configuration/src/state.rs
+++ b/configuration/src/state.rs
@@ -8,7 +8,7 @@
 use crate::document::{Document, Stored};
 use crate::error::{Invalid, OldVersionSnafu, TooLargeSnafu, UnknownServiceSnafu};
 use crate::fields::{shorten, Place};
-use crate::log::{ChangeLog, LogEntry, Taken};
+use crate::log::{ChangeLog, LogEntry, Taken, TakenChange};
 use crate::plan::Plan;
 use crate::reading::{Item, ROUTES, SERVICES};
 use crate::view::{replaced_routes, View};
@@ -23,7 +23,10 @@
     Apply,
     /// It was taken before and is acknowledged again.
     Repeated,
-    /// It builds on another version than the current one.
+    /// It builds on a version so old that a change on it may have been taken and is not remembered: it is not applied,
+    /// and must be neither acknowledged nor refused.
+    Forgotten,
+    /// It builds on another version than the current one, and was not taken.
     Conflict {
         /// The current version.
         current: u64,
@@ -51,6 +54,9 @@
         if self.taken.contains(change.content) {
             return Judgement::Repeated;
         }
+        if self.taken.may_have_forgotten(change.base) {
+            return Judgement::Forgotten;
+        }
         if change.base != self.version {
             return Judgement::Conflict { current: self.version };
         }
@@ -167,8 +173,8 @@
         let plan = Plan::of(&self.document, &change);
         let keys = plan.keys().filter(|key| View::takes(key)).cloned().collect();
         self.log.push(LogEntry { base: self.version, keys });
+        self.taken.push(TakenChange { base: self.version, content: change.content });
         self.show(&plan.upsert, &plan.remove, change.version);
-        self.taken.push(change.content);
         self.version = change.version;
         if change.whole {
             self.document = Document::default();
--- a/configuration/tests/histories.rs
+++ b/configuration/tests/histories.rs
@@ -30,6 +30,7 @@
             Judgement::Apply => Verdict::Apply,
             Judgement::Repeated => Verdict::Repeated,
             Judgement::Conflict { .. } => Verdict::Conflict,
+            Judgement::Forgotten => unreachable!("these histories are short enough to be remembered"),
             Judgement::Invalid(_) => Verdict::Invalid,
         }
     }
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -600,6 +600,7 @@
 fn answer_of(judgement: &Judgement) -> OperatorAnswer {
     match judgement {
         Judgement::Apply | Judgement::Repeated => OperatorAnswer::Done { body: b"{}".to_vec() },
+        Judgement::Forgotten => OperatorAnswer::Unavailable,
         Judgement::Conflict { current } => OperatorAnswer::Conflict { current: *current },
         Judgement::Invalid(invalid) => OperatorAnswer::Invalid { reason: invalid.to_string() },
     }
