--- a/consensus/tests/aimed.rs
+++ b/consensus/tests/aimed.rs
@@ -297,3 +297,99 @@
         group
     });
 }
+
+/// Cuts a follower off until the leader's log no longer reaches back to where it stands.
+fn fall_behind(group: &mut Group, leader: NodeId) -> NodeId {
+    let followers = others(group, leader);
+    let behind = any_of(group, &followers);
+    group.isolate(behind);
+    for _ in 0..4 {
+        ask_all(group);
+        group.run(20);
+    }
+    group.machine(leader).compact();
+    group.act(leader, |_, _| ());
+    behind
+}
+
+#[test]
+fn given_a_follower_behind_the_snapshot_when_its_disk_or_power_fails_meanwhile_then_it_catches_up_in_the_end()
+{
+    play_all(80_000, |seed| {
+        let mut group = Group::founded_with(3, seed, |options| {
+            tight(options);
+            options.retain_bytes = 0;
+        });
+        for _ in 0..5 {
+            let leader = mend(&mut group);
+            let behind = fall_behind(&mut group, leader);
+            let sync_ms = 1 + draw(&mut group, 100);
+            group.conditions = Conditions { sync_ms, delay_ms: 30, ..Conditions::CALM };
+            group.cuts.clear();
+            group.machine(behind).is_disk_stalled = coin(&mut group);
+            // More snapshots follow, and power is lost at any step between them.
+            for _ in 0..4 {
+                ask_all(&mut group);
+                run_up_to(&mut group, 120);
+                let compacts = if coin(&mut group) { leader } else { behind };
+                group.machine(compacts).compact();
+                group.act(compacts, |_, _| ());
+                match draw(&mut group, 5) {
+                    0 => group.machine(behind).is_disk_stalled = false,
+                    1 => group.machine(behind).checkpoint(),
+                    2 | 3 => {
+                        group.crash(behind);
+                        group.restart(behind);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        assert!(group.sent.contains_key("Install"));
+        group
+    });
+}
+
+#[test]
+fn given_a_follower_behind_the_snapshot_when_400_changes_go_on_at_20_a_second_then_it_keeps_up_before_they_end(
+) {
+    let mut group = Group::founded_with(3, 1, |options| {
+        tight(options);
+        options.retain_bytes = 0;
+    });
+    let leader = mend(&mut group);
+    let behind = fall_behind(&mut group, leader);
+    group.crash(behind);
+    group.cuts.clear();
+    group.conditions = Conditions { delay_ms: 40, sync_ms: 60, ..Conditions::CALM };
+    for change in 0..400 {
+        group.propose(leader).expect("the leader takes it");
+        if change % 8 == 0 {
+            group.machine(leader).compact();
+        }
+        if change == 100 {
+            group.restart(behind);
+        }
+        group.run(50);
+    }
+    let distance = group.machines[&leader].applied - group.machines[&behind].applied;
+    assert!(group.sent.contains_key("Install"));
+    assert!(distance < 20, "{distance} entries behind: {}", group.describe());
+    group.settle();
+    assert_eq!(group.machines[&behind].commands, group.machines[&leader].commands);
+}
+
+#[test]
+fn given_a_member_that_starts_again_when_it_does_not_know_what_is_committed_then_it_answers_nobody() {
+    let mut group = Group::founded(3, 2);
+    let leader = mend(&mut group);
+    group.commit_one();
+    let member = others(&group, leader)[0];
+    group.crash(member);
+    group.restart(member);
+    // It neither leads nor holds a lease, and takes no proposals or reads, until it was elected anew.
+    assert_eq!((group.role(member), group.has_lease(member)), (Role::Follower, false));
+    assert_eq!((group.propose(member), group.read(member)), (None, None));
+    assert_eq!(group.machines[&member].commands, Vec::<u64>::new(), "what is not known to be committed");
+    group.settle();
+}
