--- a/coordinator/src/core/operator.rs
+++ b/coordinator/src/core/operator.rs
@@ -124,6 +124,7 @@
     let builds_after = |version: u64| matches!(call, OperatorCall::Change { base, .. } if *base > version);
     match judgement {
         Judgement::Apply | Judgement::Repeated => OperatorAnswer::Done { body: b"{}".to_vec() },
+        Judgement::Forgotten => OperatorAnswer::Unavailable,
         Judgement::Conflict { current } if builds_after(*current) => OperatorAnswer::Unavailable,
         Judgement::Conflict { current } => OperatorAnswer::Conflict { current: *current },
         Judgement::Invalid(invalid) => OperatorAnswer::Invalid { reason: invalid.to_string() },
