Send a request again only over connections that have not carried it, and from its head on

Cause: all sendings of a request have one Attempt-Id, so on a connection used again a second copy of the first rejection was taken for the verdict on the second sending: the client was promised that a request which then ran had not. A connection whose server had answered before it read the whole body went into the pool, and the next request waited for it. With a Transfer-Encoding that is not chunked a Content-Length was taken for the end of a body that ends with its connection. Time was counted from the end of a request's body, so servers were told more than was left. Event ids on a route that may not be resumed let its answer go on elsewhere.

Ruled out: resending by hyper (the connection API hands a request back, the pooled client of hyper-util is not built); bytes of one request in the body of another (hyper keeps their order).

Change: requests note the connections that have carried them; only connections on which both directions are over are given back; lengths count only without a Transfer-Encoding; time runs from the head; only resumable streams are taken up. Attempt and exchange are split: client's request, client's answer and received answer have modules of their own.

--- a/dataplane/src/answer.rs
+++ b/dataplane/src/answer.rs
@@ -123,10 +123,10 @@
     if bodiless || method == Method::HEAD {
         return Some(BodyShape::Length(0));
     }
-    let is_chunked = text(&head.headers, &TRANSFER_ENCODING)
-        .and_then(|value| value.rsplit(',').next())
-        .is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
+    let (is_encoded, is_chunked) = transfer_encoding(&head.headers);
+    // With a `Transfer-Encoding` a length says nothing: without chunks such a body ends with its connection.
     let length = text(&head.headers, &CONTENT_LENGTH).and_then(|value| value.parse().ok());
+    let length = length.filter(|_| !is_encoded);
     if is_event_stream(&head.headers) && (is_chunked || length.is_some()) {
         return Some(BodyShape::Events);
     }
@@ -137,6 +137,13 @@
     }
 }
 
+/// Whether there is a `Transfer-Encoding`, and whether the last one named is `chunked`.
+fn transfer_encoding(headers: &HeaderMap) -> (bool, bool) {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let coding = last.and_then(|value| value.to_str().ok()).and_then(|value| value.rsplit(',').next());
+    (last.is_some(), coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")))
+}
+
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let media_type = text(headers, &CONTENT_TYPE).and_then(|value| value.split(';').next());
     media_type.is_some_and(|name| name.trim().eq_ignore_ascii_case("text/event-stream"))
--- a/dataplane/src/exchange.rs
+++ b/dataplane/src/exchange.rs
@@ -3,82 +3,22 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, EXPECT, RETRY_AFTER};
-use hyper::http::request;
-use hyper::http::response::Parts;
-use hyper::http::uri::PathAndQuery;
-use hyper::{Method, Request, Response, StatusCode, Uri};
 use shaletrail_routing::interface::{Attempt, Ending, Event, Outcome, Refusal, Verdict};
 
-use crate::attempt::{self, AttemptEnd, Held, Progress};
+use crate::attempt::{self, AttemptEnd, HeldFailure, Progress};
 use crate::body::{AnswerWriter, BrokenOff};
-use crate::request::{strip_hop_by_hop, ATTEMPT_ID, DEADLINE_MS, EXPECTED_INSTANCE, LAST_EVENT_ID, PRIORITY};
-use crate::state::{BodyRoom, Command, SendOrder, Ticket};
-
-/// A client's request, read whole, so that it can be sent more than once.
-pub struct ClientRequest {
-    method: Method,
-    target: Uri,
-    headers: HeaderMap,
-    body: Bytes,
-    stall_after: Option<Duration>,
-    _room: BodyRoom,
-}
-
-impl ClientRequest {
-    /// Takes what is sent to servers from a client's request. A stream that pauses for longer than `stall_after`
-    /// is reported as stalled.
-    pub fn new(head: request::Parts, body: Bytes, room: BodyRoom, stall_after: Option<Duration>) -> Self {
-        let request::Parts { method, uri, mut headers, .. } = head;
-        strip_hop_by_hop(&mut headers);
-        headers.remove(CONTENT_LENGTH);
-        headers.remove(EXPECT);
-        let path = uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/"));
-        ClientRequest { method, target: Uri::from(path), headers, body, stall_after, _room: room }
-    }
-
-    /// The pause after which its stream counts as stalled.
-    pub fn stall_after(&self) -> Option<Duration> {
-        self.stall_after
-    }
-
-    /// The request's method.
-    pub fn method(&self) -> &Method {
-        &self.method
-    }
-
-    /// `Attempt-Id`.
-    pub fn attempt_id(&self) -> Option<&HeaderValue> {
-        self.headers.get(ATTEMPT_ID)
-    }
-
-    /// The request as one sending carries it; `None` if the server's id can be no header.
-    pub fn for_server(&self, order: &SendOrder) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.target.clone();
-        let mut headers = self.headers.clone();
-        headers.insert(EXPECTED_INSTANCE, HeaderValue::try_from(order.server.as_str()).ok()?);
-        headers.insert(DEADLINE_MS, HeaderValue::from(order.deadline_ms));
-        headers.insert(PRIORITY, HeaderValue::from(u16::from(order.priority)));
-        if let Some(event) = order.resume_after {
-            headers.insert(LAST_EVENT_ID, HeaderValue::from(event));
-        }
-        *request.headers_mut() = headers;
-        Some(request)
-    }
-}
+use crate::client_answer::{refusal_head, ClientAnswer};
+use crate::client_request::ClientRequest;
+use crate::state::{Command, SendOrder, Ticket};
 
 /// The life of one request.
 pub struct Exchange {
     ticket: Ticket,
     request: ClientRequest,
-    answer: Answer,
-    held: Option<Held>,
+    answer: ClientAnswer,
+    held: Option<HeldFailure>,
 }
 
 /// What came of a command.
@@ -94,7 +34,7 @@
 impl Exchange {
     /// A request that the router has been told of, and where its answer goes.
     pub fn new(ticket: Ticket, request: ClientRequest, writer: AnswerWriter) -> Self {
-        Exchange { ticket, request, answer: Answer::new(writer), held: None }
+        Exchange { ticket, request, answer: ClientAnswer::new(writer), held: None }
     }
 
     /// Carries out the router's commands until the answer is whole or cannot become so.
@@ -191,74 +131,3 @@
         }
     }
 }
-
-/// The answer to the client, of which a part may have been passed on.
-pub struct Answer {
-    writer: AnswerWriter,
-    has_begun: bool,
-    last_event: Option<u64>,
-    in_event: bool,
-}
-
-impl Answer {
-    fn new(writer: AnswerWriter) -> Self {
-        Answer { writer, has_begun: false, last_event: None, in_event: false }
-    }
-
-    /// Notes how far a stream has come: the last event passed on, and whether a part of the next has come.
-    pub fn note_events(&mut self, last_event: Option<u64>, in_event: bool) {
-        self.last_event = last_event;
-        self.in_event = in_event;
-    }
-
-    /// How an attempt ends that breaks off after the head has been passed on.
-    pub fn broken(&self) -> Ending {
-        Ending::Broken { last_event: self.last_event, at_fault: self.in_event }
-    }
-
-    /// Whether the client has the head of an answer.
-    pub fn has_begun(&self) -> bool {
-        self.has_begun
-    }
-
-    /// Passes the head on, if it is the first. The head of a stream that is taken up elsewhere stays.
-    pub fn begin(&mut self, mut head: Parts) {
-        if self.has_begun {
-            return;
-        }
-        self.has_begun = true;
-        strip_hop_by_hop(&mut head.headers);
-        self.writer.begin(head);
-    }
-
-    /// Passes a piece on.
-    pub async fn pass(&self, piece: Bytes) {
-        self.writer.pass(piece).await;
-    }
-
-    /// Passes the last piece on.
-    pub fn finish(&self, piece: Bytes) {
-        self.writer.finish(piece);
-    }
-
-    /// Passes a whole answer on; not possible where another has begun.
-    pub fn whole(&mut self, head: Parts, body: Bytes) -> Result<(), BrokenOff> {
-        if self.has_begun {
-            return Err(BrokenOff);
-        }
-        self.begin(head);
-        self.finish(body);
-        Ok(())
-    }
-}
-
-/// The head of an answer of our own.
-pub fn refusal_head(refusal: Refusal) -> Option<Parts> {
-    let (mut head, ()) = Response::new(()).into_parts();
-    head.status = StatusCode::from_u16(refusal.status).ok()?;
-    if let Some(milliseconds) = refusal.retry_after_ms {
-        let seconds = format!("{}.{:03}", milliseconds / 1000, milliseconds % 1000);
-        head.headers.insert(RETRY_AFTER, HeaderValue::try_from(seconds).ok()?);
-    }
-    Some(head)
-}
--- a/dataplane/src/ingress.rs
+++ b/dataplane/src/ingress.rs
@@ -13,10 +13,13 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use shaletrail_configuration::{Route, RouteKind};
+use shaletrail_protocol::Millis;
 use shaletrail_routing::interface::{NewRequest, Refusal, RefusalReason, RequestId};
 
 use crate::body::{answer, AnswerBody, AnswerWriter, BrokenOff};
-use crate::exchange::{refusal_head, ClientRequest, Exchange};
+use crate::client_answer::refusal_head;
+use crate::client_request::ClientRequest;
+use crate::exchange::Exchange;
 use crate::listener::{Connection, Serving};
 use crate::request::{host, path_hash, Wish};
 use crate::state::{BodyRoom, State};
@@ -61,11 +64,12 @@
     request: Request<Incoming>,
 ) -> Result<Response<ServedBody>, BrokenOff> {
     let serving = connection.begin_request();
+    let arrived_at = state.clock.now();
     let (head, body) = request.into_parts();
     let mut response = match read_body(&state, body).await {
         Ok((body, room)) => {
             connection.begin_answer();
-            exchange(&state, head, body, room).await?
+            exchange(&state, head, body, room, arrived_at).await?
         }
         Err(BodyError::Broken) => return Err(BrokenOff),
         Err(BodyError::TooLong) => closing(own_answer(StatusCode::PAYLOAD_TOO_LARGE, None)?),
@@ -113,6 +117,7 @@
     head: Parts,
     body: Bytes,
     room: BodyRoom,
+    arrived_at: Millis,
 ) -> Result<Response<AnswerBody>, BrokenOff> {
     let view = state.view();
     if view.version == 0 {
@@ -122,7 +127,8 @@
         return own_answer(StatusCode::NOT_FOUND, None);
     };
     let id = state.name_request();
-    let new_request = new_request(id, route.clone(), &head, body.len() as u64);
+    let reading_ms = state.clock.now().saturating_sub(arrived_at);
+    let new_request = new_request(id, route.clone(), &head, body.len() as u64, reading_ms);
     let request = ClientRequest::new(head, body, room, stall_after(route));
     let writer = AnswerWriter::default();
     let ticket = state.open(id, new_request);
@@ -136,11 +142,19 @@
     Some(Duration::from_millis(gap_aim_ms.saturating_mul(STALLED_GAPS)).max(LEAST_STALL))
 }
 
-fn new_request(id: RequestId, route: Arc<Route>, head: &Parts, body_bytes: u64) -> NewRequest {
+/// What the router is told. The time that a request has runs from its head: what it took to read the body is over.
+fn new_request(
+    id: RequestId,
+    route: Arc<Route>,
+    head: &Parts,
+    body_bytes: u64,
+    reading_ms: Millis,
+) -> NewRequest {
     let wish = Wish::read(&head.headers);
+    let time_ms = wish.deadline.map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
     NewRequest {
         id,
-        deadline_ms: wish.deadline.unwrap_or(route.timeout_ms),
+        deadline_ms: time_ms.saturating_sub(reading_ms),
         route,
         model: wish.model,
         adapter: wish.adapter,
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -7,7 +7,10 @@
 //! | `ingress` | a request from its head to the exchange that serves it |
 //! | [`request`] | headers of requests |
 //! | `exchange` | one request's life, by the router's orders |
-//! | `attempt` | one sending: connection, head, body |
+//! | `client_request` | a client's request, as each sending carries it |
+//! | `client_answer` | the answer to a client |
+//! | `attempt` | one sending of a request, up to the head of its answer |
+//! | `received` | an answer of a server, from its head on |
 //! | [`answer`] | what a server's answer is |
 //! | [`events`] | cutting streams into events |
 //! | `stall` | noticing that a stream hangs |
@@ -25,6 +28,8 @@
 pub mod answer;
 mod attempt;
 mod body;
+mod client_answer;
+mod client_request;
 mod control;
 pub mod coordinators;
 pub mod events;
@@ -34,6 +39,7 @@
 mod peers;
 pub mod poller;
 mod readiness;
+mod received;
 pub mod request;
 mod stall;
 mod state;
@@ -266,7 +272,6 @@
     }
 }
 
-/// How many clients may be connected, and how many connections there may be to servers.
 /// Tells the other edges what is under way here, and hears them. Without a socket this edge goes by what it has itself.
 async fn tell_peers(state: Rc<State>, settings: &Settings, incarnation: Incarnation) {
     let address = SocketAddrV4::new(settings.ip, settings.internal_port());
@@ -278,6 +283,7 @@
     }
 }
 
+/// How many clients may be connected, and how many connections there may be to servers.
 fn connection_limits(limits: &MachineLimits) -> (usize, PoolLimits) {
     let sockets = limits.max_fds.saturating_sub(RESERVED_DESCRIPTORS).max(16);
     let clients = sockets * CLIENT_PERCENT / 100;
--- a/dataplane/src/upstream.rs
+++ b/dataplane/src/upstream.rs
@@ -75,6 +75,10 @@
     pub is_parse: bool,
 }
 
+/// Names a connection to a server; never given twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionId(u64);
+
 /// Bounds of the pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoolLimits {
@@ -89,6 +93,7 @@
     limits: PoolLimits,
     servers: RefCell<AHashMap<ServerId, ServerPool>>,
     open: Rc<Cell<usize>>,
+    next: Cell<u64>,
 }
 
 /// Counts as an open connection until it is dropped.
@@ -122,8 +127,17 @@
     until: Millis,
 }
 
+impl Idle {
+    /// Whether its connection may carry a request now: it has not rested for too long, and all that came before on it
+    /// is over, both ways, with no byte left.
+    fn is_usable(&self, now: Millis) -> bool {
+        now < self.until && self.link.sender.is_ready()
+    }
+}
+
 /// A connection, without its place in the pool. Closed when dropped.
 struct Link {
+    id: ConnectionId,
     sender: SendRequest<Full<Bytes>>,
     watch: Rc<WriteWatch>,
     driver: AbortHandle,
@@ -175,7 +189,7 @@
 impl Pool {
     /// An empty pool.
     pub fn new(limits: PoolLimits) -> Self {
-        Pool { limits, servers: RefCell::default(), open: Rc::default() }
+        Pool { limits, servers: RefCell::default(), open: Rc::default(), next: Cell::new(0) }
     }
 
     /// Closes the idle connections to a server, and the busy ones once they become idle.
@@ -214,12 +228,20 @@
         entry.generation
     }
 
-    /// The most recently used idle connection to a server that may be used again.
-    fn take_idle(&self, server: &str, now: Millis) -> Option<Link> {
+    /// The most recently used idle connection to a server, among those that may be used and are not `barred`.
+    fn take_idle(&self, server: &str, now: Millis, barred: impl Fn(ConnectionId) -> bool) -> Option<Link> {
         let mut servers = self.servers.borrow_mut();
         let entry = servers.get_mut(server)?;
-        let usable = |idle: Idle| (now < idle.until && !idle.link.sender.is_closed()).then_some(idle.link);
-        std::iter::from_fn(|| entry.idle.pop()).find_map(usable)
+        entry.idle.retain(|idle| idle.is_usable(now));
+        let position = entry.idle.iter().rposition(|idle| !barred(idle.link.id))?;
+        Some(entry.idle.remove(position).link)
+    }
+
+    /// A name for a new connection.
+    fn name_connection(&self) -> ConnectionId {
+        let id = self.next.get();
+        self.next.set(id.wrapping_add(1));
+        ConnectionId(id)
     }
 
     /// Ends the use of a server, and keeps the connection where it may be used again.
@@ -246,21 +268,28 @@
 }
 
 impl Lease {
-    /// A connection to a server: an idle one, or a new one.
-    pub async fn take(state: &Rc<State>, server: &str, address: &str) -> Result<Lease, ConnectError> {
+    /// A connection to a server: an idle one that is not `barred`, or a new one.
+    pub async fn take(
+        state: &Rc<State>,
+        server: &str,
+        address: &str,
+        barred: impl Fn(ConnectionId) -> bool,
+    ) -> Result<Lease, ConnectError> {
         let generation = state.pool.begin(server, address);
         let mut lease =
             Lease { state: state.clone(), server: server.to_owned(), generation, link: None, returned: None };
-        while let Some(mut link) = state.pool.take_idle(server, state.clock.now()) {
-            if link.sender.ready().await.is_ok() {
-                lease.link = Some(link);
-                return Ok(lease);
-            }
-        }
-        lease.link = Some(connect(&state.pool, address).await?);
+        lease.link = match state.pool.take_idle(server, state.clock.now(), barred) {
+            Some(link) => Some(link),
+            None => Some(connect(&state.pool, address).await?),
+        };
         Ok(lease)
     }
 
+    /// The connection's name.
+    pub fn connection(&self) -> Option<ConnectionId> {
+        self.link.as_ref().map(|link| link.id)
+    }
+
     /// Sends the request and waits for the head of the answer. `on_write` runs when its first byte is written.
     pub async fn send(
         &mut self,
@@ -281,9 +310,10 @@
         })
     }
 
-    /// Gives the connection back after a whole answer. `keep_alive` is what the server said of idle ones.
+    /// Gives the connection back after a whole answer. `keep_alive` is what the server said of idle ones. It is closed
+    /// where a part of the request is still to be written: the server may have answered before it read all of it.
     pub fn give_back(mut self, keep_alive: Option<Millis>) {
-        let Some(link) = self.link.take() else { return };
+        let Some(link) = self.link.take().filter(|link| link.sender.is_ready()) else { return };
         let keep = keep_alive.unwrap_or(USUAL_KEEP_ALIVE).saturating_mul(KEEP_ALIVE_PERCENT) / 100;
         let until = self.state.clock.now().saturating_add(keep);
         self.returned = Some(Idle { link, until });
@@ -310,7 +340,7 @@
         http1::Builder::new().max_buf_size(READ_BUFFER).handshake(io).await.context(HandshakeSnafu)?;
     // How a connection ended is seen by the request that was on it.
     let driver = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
-    Ok(Link { sender, watch, driver, _place: place, has_served: false })
+    Ok(Link { id: pool.name_connection(), sender, watch, driver, _place: place, has_served: false })
 }
 
 fn prepare(stream: &TcpStream) -> std::io::Result<()> {
--- a/dataplane/tests/common/coordinator.rs
+++ b/dataplane/tests/common/coordinator.rs
@@ -22,6 +22,10 @@
     hellos: Cell<usize>,
     has_left: Cell<bool>,
     asked: Notify,
+    /// The next poll is answered late, with this.
+    late_reply: RefCell<Option<PollReply>>,
+    is_late: Cell<bool>,
+    released: Notify,
 }
 
 /// Its handle. It runs on the test's runtime.
@@ -76,9 +80,34 @@
             .await;
     }
 
+    /// Answers the next poll with this, but only once it is released.
+    pub fn publish_late(&self, reply: PollReply) {
+        self.shared.late_reply.replace(Some(reply));
+    }
+
+    /// Waits until the poll that is answered late has come.
+    pub async fn is_late(&self) {
+        self.until(|shared| shared.is_late.get()).await;
+    }
+
+    /// Sends the late answer.
+    pub fn release(&self) {
+        self.shared.released.notify_one();
+    }
+
     /// Waits until an edge has introduced itself.
     pub async fn greeted(&self) {
-        self.until(|shared| shared.hellos.get() > 0).await;
+        self.greeted_times(1).await;
+    }
+
+    /// Waits until edges have introduced themselves so many times, each on a connection of its own.
+    pub async fn greeted_times(&self, times: usize) {
+        self.until(|shared| shared.hellos.get() >= times).await;
+    }
+
+    /// Waits for so many polls in all.
+    pub async fn polled_times(&self, times: usize) {
+        self.until(|shared| shared.polls.borrow().len() >= times).await;
     }
 
     /// Waits until the edge has said that it leaves.
@@ -115,6 +144,15 @@
         let (cursor, hold) = (poll.cursor, Duration::from_millis(u64::from(poll.hold_ms)));
         shared.polls.borrow_mut().push(poll);
         shared.asked.notify_waiters();
+        let late = shared.late_reply.take();
+        if let Some(reply) = late {
+            shared.is_late.set(true);
+            shared.asked.notify_waiters();
+            shared.released.notified().await;
+            // The edge may have closed the connection meanwhile.
+            drop(stream.write_all(&frame::encode(&reply)).await);
+            continue;
+        }
         let quiet = PollReply { cursor, ..PollReply::default() };
         let reply = tokio::time::timeout(hold, next_reply(&shared)).await.unwrap_or(quiet);
         if stream.write_all(&frame::encode(&reply)).await.is_err() {
--- a/dataplane/tests/common/http.rs
+++ b/dataplane/tests/common/http.rs
@@ -141,6 +141,13 @@
         assert_eq!(self.read_rest().await, "");
     }
 
+    /// Reads so many bytes, or what comes before the end of the connection.
+    pub async fn read_up_to(&mut self, length: usize) -> String {
+        while self.buffer.len() < length && self.fill().await {}
+        let length = length.min(self.buffer.len());
+        String::from_utf8(self.buffer.drain(..length).collect()).expect("text")
+    }
+
     /// Closes the connection with a reset.
     pub fn reset(self) {
         let socket = socket2::SockRef::from(&self.stream);
--- a/dataplane/tests/common/mod.rs
+++ b/dataplane/tests/common/mod.rs
@@ -137,10 +137,15 @@
 
 /// One in which clients' connections may rest for so many milliseconds.
 pub fn configuration_with(routes: &[String], idle_timeout_ms: u64) -> String {
+    configuration_within(routes, idle_timeout_ms, 4096)
+}
+
+/// One in which bodies of requests may have so many bytes, too.
+pub fn configuration_within(routes: &[String], idle_timeout_ms: u64, max_body_bytes: usize) -> String {
     let services = r#"{"name":"s1","healthPath":"/healthz","maxConnections":64,"protocol":"h1","tls":false},
         {"name":"s2","healthPath":"/healthz","maxConnections":64,"protocol":"h1","tls":false}"#;
     let limits = format!(
-        r#"{{"maxHeaderBytes":16384,"maxBodyBytes":4096,"headerTimeoutMs":3000,"idleTimeoutMs":{idle_timeout_ms}}}"#
+        r#"{{"maxHeaderBytes":16384,"maxBodyBytes":{max_body_bytes},"headerTimeoutMs":3000,"idleTimeoutMs":{idle_timeout_ms}}}"#
     );
     format!(r#"{{"version":1,"routes":[{}],"services":[{services}],"limits":{limits}}}"#, routes.join(","))
 }
--- a/routing/src/requests.rs
+++ b/routing/src/requests.rs
@@ -97,6 +97,12 @@
         self.surely_not_run() || self.new.route.kind.may_repeat()
     }
 
+    /// Whether its answer, of which a part has been passed on, may go on at another server.
+    pub fn may_be_taken_up(&self) -> bool {
+        let is_resumable = matches!(self.new.route.kind, RouteKind::Streaming { resumable: true, .. });
+        is_resumable && self.last_event.is_some()
+    }
+
     /// What it is to be told if it gets no other attempt.
     pub fn reason_to_end(&self) -> RefusalReason {
         if self.surely_not_run() {
--- a/routing/src/router.rs
+++ b/routing/src/router.rs
@@ -368,8 +368,7 @@
         match outcome.ending {
             Ending::Served => self.answered(request),
             _ if request.head_passed => {
-                let resumable = request.last_event.is_some() && request.new.route.kind.may_repeat();
-                if resumable {
+                if request.may_be_taken_up() {
                     self.place(now, request, Otherwise::BreakOff, actions);
                 } else {
                     self.break_off(request, actions);
--- a/routing/tests/streams.rs
+++ b/routing/tests/streams.rs
@@ -41,10 +41,13 @@
 
 #[test]
 fn given_a_stream_that_may_not_be_resumed_when_it_breaks_midway_then_it_is_broken_off() {
-    for kind in [stream(LLM, false), route(LLM), idempotent(LLM)] {
-        let mut edge = Edge::with_servers(LLM, 4, &["m1"]);
-        let first = begin(&mut edge, &kind);
-        assert_eq!(edge.end(&first, broken(None)), vec![Action::BreakOff(first.request)]);
+    // Events with ids may come on any route; only where its kind may be resumed do they say where to go on.
+    for last_event in [None, Some(3)] {
+        for kind in [stream(LLM, false), route(LLM), idempotent(LLM)] {
+            let mut edge = Edge::with_servers(LLM, 4, &["m1"]);
+            let first = begin(&mut edge, &kind);
+            assert_eq!(edge.end(&first, broken(last_event)), vec![Action::BreakOff(first.request)]);
+        }
     }
 }
 
