--- a/storage/src/memory.rs
+++ b/storage/src/memory.rs
@@ -43,6 +43,8 @@
     calls_left: Option<u64>,
     /// Calls that still succeed before one is refused.
     calls_to_refusal: Option<u64>,
+    /// Calls that still succeed before the disk is full.
+    calls_to_full: Option<u64>,
     powered: bool,
     /// While closed, calls wait.
     closed: bool,
@@ -78,6 +80,7 @@
             faults: Faults::default(),
             calls_left: None,
             calls_to_refusal: None,
+            calls_to_full: None,
             powered: true,
             closed: false,
             waiting: 0,
@@ -93,7 +96,9 @@
 
     /// Sets what is refused from now on.
     pub fn set_faults(&self, faults: Faults) {
-        self.lock().faults = faults;
+        let mut state = self.lock();
+        state.faults = faults;
+        state.calls_to_full = None;
     }
 
     /// Lets `calls` more calls that change something succeed; then the power is gone, with the next call half done.
@@ -106,6 +111,12 @@
         self.lock().calls_to_refusal = Some(calls);
     }
 
+    /// Lets `calls` more calls that change something succeed; then the disk is full until other
+    /// [faults](MemoryDisk::set_faults) are set.
+    pub fn fill_up_after(&self, calls: u64) {
+        self.lock().calls_to_full = Some(calls);
+    }
+
     /// Whether there is power.
     pub fn powered(&self) -> bool {
         self.lock().powered
@@ -222,6 +233,8 @@
         if refused {
             return Err(io::Error::other("refused"));
         }
+        self.faults.full |= self.calls_to_full == Some(0);
+        self.calls_to_full = self.calls_to_full.and_then(|left| left.checked_sub(1));
         self.carry_out(call)
     }
 
--- a/storage/tests/checkpoint.rs
+++ b/storage/tests/checkpoint.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use shaletrail_storage::memory::{Faults, MemoryDisk};
-use shaletrail_storage::{Journal, Options, StorageError};
+use shaletrail_storage::{Journal, Options, StorageError, Stored};
 use support::{append_synced, names, open, small_options};
 
 /// Live records that take three files.
@@ -155,3 +155,118 @@
     let opened = Journal::open(disk, &options).expect("the journal opens");
     assert_eq!(names(&opened.stored), ["a"]);
 }
+
+/// What the journal held before and after a checkpoint that a story interrupts.
+fn is_before_or_after(stored: &[Stored]) -> bool {
+    names(stored) == ["a", "b"] || stored.len() == 30
+}
+
+#[test]
+fn given_a_checkpoint_when_one_call_is_refused_at_each_step_then_it_leaves_no_trace_and_appends_go_on() {
+    let mut failures = 0;
+    for cut in 0..30 {
+        // Given
+        let disk = MemoryDisk::new(cut);
+        let mut journal = open(&disk).journal;
+        append_synced(&mut journal, &["a", "b"]);
+        // When
+        disk.refuse_after(cut);
+        let failed = journal.checkpoint(&long_live_set()).is_err();
+        disk.refuse_after(u64::MAX);
+        append_synced(&mut journal, &["next"]);
+        disk.restart();
+        // Then
+        let found = open(&disk).stored;
+        assert_eq!(names(&found).last(), Some(&"next".to_owned()));
+        assert_eq!(found.len(), if failed { 3 } else { 31 }, "after {cut} calls");
+        failures += u64::from(failed);
+    }
+    assert!(failures >= 8, "only {failures} steps were refused");
+}
+
+#[test]
+fn given_a_checkpoint_when_the_process_dies_at_each_step_and_power_goes_later_then_nothing_safe_is_lost() {
+    for cut in 0..30 {
+        for seed in 0..8 {
+            // Given
+            let disk = MemoryDisk::new(seed * 1_000 + cut);
+            let mut journal = open(&disk).journal;
+            append_synced(&mut journal, &["a", "b"]);
+            disk.refuse_after(cut);
+            let succeeded = journal.checkpoint(&long_live_set()).is_ok();
+            drop(journal);
+            disk.refuse_after(u64::MAX);
+            // When: the next process acts on what it finds, then the power goes.
+            let found = open(&disk).stored;
+            disk.restart();
+            // Then
+            assert!(is_before_or_after(&found) && (!succeeded || found.len() == 30));
+            assert_eq!(open(&disk).stored, found, "what was read lasts");
+        }
+    }
+}
+
+#[test]
+fn given_a_checkpoint_when_the_disk_fills_up_at_each_step_then_no_write_is_lost_once_there_is_room() {
+    let mut failures = 0;
+    for cut in 0..30 {
+        // Given
+        let disk = MemoryDisk::new(cut);
+        let mut journal = open(&disk).journal;
+        append_synced(&mut journal, &["a", "b"]);
+        // When
+        disk.fill_up_after(cut);
+        let failed = journal.checkpoint(&long_live_set()).is_err();
+        disk.set_faults(Faults { full: true, ..Faults::default() });
+        journal.append(1, b"waits".to_vec()).expect("the record is short");
+        for _ in 0..3 {
+            let refused = journal.sync().expect_err("a full disk refuses every write");
+            assert!(matches!(refused, StorageError::Io { operation: "write" | "create", .. }));
+            assert_eq!(journal.pending(), 1);
+        }
+        disk.set_faults(Faults::default());
+        journal.sync().expect("there is room");
+        disk.restart();
+        // Then
+        let found = open(&disk).stored;
+        assert_eq!(names(&found).last(), Some(&"waits".to_owned()));
+        assert_eq!(found.len(), if failed { 3 } else { 31 }, "after {cut} calls");
+        failures += u64::from(failed);
+    }
+    assert!(failures >= 6, "only {failures} steps were refused");
+}
+
+#[test]
+fn given_two_checkpoints_when_power_goes_between_and_in_the_second_then_one_of_them_is_whole() {
+    let mut outcomes = [0, 0];
+    for seed in 0..6 {
+        for cut in 0..40 {
+            // Given
+            let disk = MemoryDisk::new(seed * 1_000 + cut);
+            let mut journal = open(&disk).journal;
+            append_synced(&mut journal, &["old"]);
+            journal.checkpoint(&[(1, b"first".to_vec())]).expect("the disk is well");
+            append_synced(&mut journal, &["after first"]);
+            drop(journal);
+            disk.restart();
+            let mut journal = open(&disk).journal;
+            append_synced(&mut journal, &["after power loss"]);
+            // When
+            disk.cut_power_after(cut);
+            let succeeded = journal.checkpoint(&long_live_set()).is_ok();
+            disk.restart();
+            // Then
+            let opened = open(&disk);
+            let is_first = names(&opened.stored) == ["first", "after first", "after power loss"];
+            assert!(is_first || opened.stored.len() == 30);
+            assert!(!(is_first && succeeded));
+            outcomes[usize::from(is_first)] += 1;
+            // And a third one, right after, is not confused by what the second left.
+            let mut journal = opened.journal;
+            journal.checkpoint(&[(1, b"third".to_vec())]).expect("a checkpoint fits");
+            disk.restart();
+            assert_eq!(names(&open(&disk).stored), ["third"]);
+        }
+    }
+    assert!(outcomes.iter().all(|count| *count > 20), "both outcomes must be seen: {outcomes:?}");
+}
--- a/storage/tests/folder.rs
+++ b/storage/tests/folder.rs
@@ -1,5 +1,7 @@
 //! The journal over a real folder, and the bytes that it writes.
 
+use std::io;
+
 use insta::assert_snapshot;
 use shaletrail_storage::header::SegmentHeader;
 use shaletrail_storage::record::{self, Kind, RecordHeader};
@@ -69,6 +71,46 @@
     assert!(disk.read_at("b", 0, 1).is_err());
 }
 
+#[test]
+fn given_a_file_that_cannot_be_synced_when_it_is_then_the_system_was_asked_and_its_refusal_is_told() {
+    // Given: the system refuses to sync this device.
+    let folder = Folder::new("unsyncable-file");
+    let mut disk = folder.disk();
+    std::os::unix::fs::symlink("/dev/null", folder.0.join("ring-0000")).expect("a link can be made");
+    disk.write_at("ring-0000", 0, b"taken").expect("the device takes everything");
+    // When
+    let synced = disk.sync("ring-0000");
+    // Then
+    assert_eq!(synced.expect_err("it cannot be synced").kind(), io::ErrorKind::InvalidInput);
+}
+
+#[test]
+fn given_a_folder_that_cannot_be_synced_when_it_is_then_the_system_was_asked_and_its_refusal_is_told() {
+    // Given: in the folder's place stands a device that the system refuses to sync.
+    let folder = Folder::new("unsyncable-folder");
+    let mut disk = folder.disk();
+    disk.sync_folder().expect("a folder can be synced");
+    std::fs::remove_dir(&folder.0).expect("it is empty");
+    std::os::unix::fs::symlink("/dev/null", &folder.0).expect("a link can be made");
+    // When
+    let synced = disk.sync_folder();
+    std::fs::remove_file(&folder.0).expect("the link can be removed");
+    // Then
+    assert_eq!(synced.expect_err("it cannot be synced").kind(), io::ErrorKind::InvalidInput);
+}
+
+#[test]
+fn given_a_full_device_when_written_then_its_refusal_is_told() {
+    // Given
+    let folder = Folder::new("full");
+    let mut disk = folder.disk();
+    std::os::unix::fs::symlink("/dev/full", folder.0.join("ring-0000")).expect("a link can be made");
+    // When
+    let written = disk.write_at("ring-0000", 4096, b"record");
+    // Then
+    assert_eq!(written.expect_err("the device is full").kind(), io::ErrorKind::StorageFull);
+}
+
 #[test]
 fn given_a_header_when_encoded_then_its_bytes_are_those_of_the_format() {
     let header = SegmentHeader { generation: 3, first: 258, starts_checkpoint: true, end: 16384 };
--- a/storage/tests/journal.rs
+++ b/storage/tests/journal.rs
@@ -383,3 +383,77 @@
         assert!((opened.fresh && opened.stored.is_empty()) || (whole && interrupted));
     }
 }
+
+#[test]
+fn given_an_append_that_fails_at_each_step_when_another_is_safe_then_both_are_there_once_and_in_order() {
+    let mut failures = 0;
+    for cut in 0..12 {
+        for seed in 0..6 {
+            // Given: records that go on in a second file.
+            let disk = MemoryDisk::new(seed * 100 + cut);
+            let mut journal = open(&disk).journal;
+            append_synced(&mut journal, &["a"]);
+            journal.append(1, vec![b'x'; 20_000]).expect("the record is short enough");
+            disk.refuse_after(cut);
+            failures += u64::from(journal.sync().is_err());
+            disk.refuse_after(u64::MAX);
+            // When
+            append_synced(&mut journal, &["c"]);
+            disk.restart();
+            // Then
+            let found = open(&disk).stored;
+            let lengths: Vec<usize> = found.iter().map(|record| record.bytes.len()).collect();
+            assert_eq!(lengths, [1, 20_000, 1], "after {cut} calls");
+            assert_eq!(found.last(), Some(&stored(1, b"c")));
+        }
+    }
+    assert!(failures >= 24, "only {failures} appends failed");
+}
+
+#[test]
+fn given_an_append_that_failed_when_the_process_dies_then_it_is_there_whole_or_not_at_all() {
+    for cut in 0..12 {
+        for seed in 0..6 {
+            // Given
+            let disk = MemoryDisk::new(seed * 100 + cut);
+            let mut journal = open(&disk).journal;
+            append_synced(&mut journal, &["a"]);
+            journal.append(1, vec![b'x'; 20_000]).expect("the record is short enough");
+            disk.refuse_after(cut);
+            let safe = journal.sync().is_ok();
+            drop(journal);
+            disk.refuse_after(u64::MAX);
+            // When
+            let mut journal = open(&disk).journal;
+            append_synced(&mut journal, &["c"]);
+            disk.restart();
+            // Then
+            let lengths: Vec<usize> = open(&disk).stored.iter().map(|record| record.bytes.len()).collect();
+            assert!(
+                lengths == [1, 20_000, 1] || (!safe && lengths == [1, 1]),
+                "{lengths:?} after {cut} calls"
+            );
+        }
+    }
+}
+
+#[test]
+fn given_an_erased_ring_when_a_new_journal_lives_in_it_and_power_goes_then_nothing_erased_comes_back() {
+    for seed in 0..60 {
+        // Given
+        let mut disk = MemoryDisk::new(seed);
+        let mut journal = open(&disk).journal;
+        append_synced(&mut journal, &["erased"]);
+        journal.checkpoint(&[(1, b"erased too".to_vec())]).expect("the disk is well");
+        drop(journal);
+        erase(&mut disk).expect("the disk is well");
+        // When
+        let mut journal = open(&disk).journal;
+        append_synced(&mut journal, &["new"]);
+        disk.restart();
+        // Then
+        let opened = open(&disk);
+        assert_eq!(names(&opened.stored), ["new"]);
+        assert!(!opened.fresh);
+    }
+}
--- a/storage/tests/writer.rs
+++ b/storage/tests/writer.rs
@@ -302,3 +302,47 @@
     assert!(matches!(reports.iter().last(), Some(Report::Stopped)));
     assert_eq!(open(&disk).stored.len(), 4);
 }
+
+#[test]
+fn given_a_checkpoint_on_a_stalled_disk_when_appends_wait_behind_it_then_nothing_is_told_before_it_is_safe() {
+    // Given
+    let stage = stage(|_| {});
+    stage.append(1, "a");
+    stage.until_done(1);
+    stage.disk.close_gate();
+    stage.writer.checkpoint(vec![(1, b"live".to_vec())]).expect("the writer takes it");
+    stage.disk.wait_until_stalled();
+    // When
+    stage.append(2, "b");
+    stage.now.store(900, Ordering::SeqCst);
+    // Then: nothing is told, the wait shows, and power lost now takes nothing that was told.
+    assert!(stage.reports.try_recv().is_err());
+    assert_eq!(stage.writer.oldest_unfinished(), Some(Duration::from_millis(900)));
+    stage.disk.open_gate();
+    let before = stage.until_done(2);
+    assert!(matches!(before.as_slice(), [Report::Checkpointed { .. }]));
+    stage.disk.restart();
+    assert_eq!(stage.stored_names(), ["live", "b"]);
+}
+
+#[test]
+fn given_appends_that_wait_for_a_full_ring_when_a_checkpoint_fails_then_none_is_told_to_be_safe() {
+    // Given
+    let stage = stage(|_| {});
+    let long = "x".repeat(10_000);
+    let refused = (1..100).find(|ticket| {
+        stage.append(*ticket, &long);
+        matches!(stage.next(), Report::Failed { error: StorageError::RingFull { .. }, .. })
+    });
+    let refused = refused.expect("the ring is limited");
+    // When
+    stage.disk.set_faults(Faults { syncs_fail: true, ..Faults::default() });
+    stage.writer.checkpoint(vec![(1, b"all".to_vec())]).expect("the writer takes it");
+    // Then
+    assert!(matches!(stage.next(), Report::CheckpointFailed { error: StorageError::Io { .. } }));
+    assert!(stage.writer.oldest_unfinished().is_some());
+    stage.disk.set_faults(Faults::default());
+    stage.writer.checkpoint(vec![(1, b"all".to_vec())]).expect("the writer takes it");
+    stage.until_done(refused);
+    assert_eq!(stage.stored_names(), ["all"]);
+}
--- a/tools/guards/run.py
+++ b/tools/guards/run.py
@@ -264,6 +264,31 @@
     errors: str
 
 
+class Running:
+    """Programs under way, so that they can be ended with the script."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.programs: set[subprocess.Popen[str]] = set()
+
+    def end_all(self) -> None:
+        """Ends all programs, with all that they started."""
+        with self.lock:
+            for program in self.programs:
+                end_group(program)
+
+
+RUNNING = Running()
+
+
+def end_group(program: subprocess.Popen[str]) -> None:
+    """Ends a program with all that it started."""
+    try:
+        os.killpg(program.pid, signal.SIGKILL)
+    except ProcessLookupError:
+        pass
+
+
 def run_limited(command: list[str], folder: Path, environment: dict[str, str], limit_s: float) -> Ended:
     """Runs a program for so many seconds at most, and ends it with all that it started."""
     program = subprocess.Popen(
@@ -277,16 +302,18 @@
         text=True,
         errors="replace",
     )
+    with RUNNING.lock:
+        RUNNING.programs.add(program)
     try:
         output, errors = program.communicate(timeout=limit_s)
         return Ended(program.returncode, output, errors)
     except subprocess.TimeoutExpired:
-        os.killpg(program.pid, signal.SIGKILL)
+        end_group(program)
         output, errors = program.communicate()
         return Ended(None, output, errors)
-    except BaseException:
-        os.killpg(program.pid, signal.SIGKILL)
-        raise
+    finally:
+        with RUNNING.lock:
+            RUNNING.programs.discard(program)
 
 
 # --- Results -------------------------------------------------------------------------------------------------------
@@ -474,3 +501,6 @@
     except ListError as error:
         print(error, file=sys.stderr)
         sys.exit(2)
+    except KeyboardInterrupt:
+        RUNNING.end_all()
+        sys.exit(130)
