Ask the core before an order is written, and wait again for a turn that had not waited

Three causes, found by review: - A leader's answer to a handed-on call names it by a number that began at 1 with each start of the asker, so that an answer to a call of the process before could acknowledge another operator's change. Tickets now carry the start. - A holder that was elected again before it had waited for another node's orders began at once, as the node before it was itself. The wait is now told by an entry, and only then left out. - not_after, fixed when an order was planned, outlived a hand-over; and the margin of 150 ms was less than an order may lie in a socket. The core is asked as the last thing before each write, the system gives an order's bytes up after 400 ms, and the margin covers that. Disk and orders no longer know the host.

--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -26,7 +26,7 @@
 use shaletrail_protocol::{Millis, NodeId, ServerId};
 use shaletrail_storage::Stored;
 
-use crate::interface::{Action, CallId, CoreOptions, Event, Note};
+use crate::interface::{Action, CallId, CoreOptions, Event, Note, OrderId};
 use demand::{Edges, Gathered};
 use memory::DirectoryMemory;
 use operator::{Caller, OperatorCalls, Stage, Ticket};
@@ -90,7 +90,7 @@
             directory,
             directory_memory: DirectoryMemory::default(),
             shards,
-            operator_calls: OperatorCalls::default(),
+            operator_calls: OperatorCalls::new(options.incarnation),
             server_calls: HashMap::new(),
             polls: Polls::default(),
             edges: Edges::new(options.retry_window.as_millis() as Millis, now),
@@ -163,6 +163,11 @@
         &self.directory
     }
 
+    /// Whether an order may be written to its server now; to be asked as the last thing before its bytes go out.
+    pub fn may_write(&self, now: Millis, order: OrderId) -> bool {
+        self.holders.may_write(now, order, &self.shards)
+    }
+
     /// Whether this node reaches a majority of the voters.
     pub fn is_in_touch(&self) -> bool {
         self.in_touch
--- a/coordinator/src/core/operator.rs
+++ b/coordinator/src/core/operator.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 use shaletrail_protocol::inside::OperatorCall;
-use shaletrail_protocol::{Millis, NodeId};
+use shaletrail_protocol::{Incarnation, Millis, NodeId};
 
 use crate::interface::CallId;
 
@@ -18,6 +18,8 @@
 const PATIENCE: Millis = 900;
 /// What is added for each MB of a call's body.
 const PATIENCE_PER_MB: Millis = 500;
+/// Bits of a ticket that count the calls of one start of the process; the others name the start.
+const COUNTER_BITS: u32 = 32;
 
 /// Who waits for the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,7 +35,8 @@
     },
 }
 
-/// Names a call in the table.
+/// Names a call in the table. Never used twice, by this start of the process or another one: a leader's answer to a
+/// call of an earlier start finds nobody.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
 
@@ -69,13 +72,18 @@
 }
 
 /// All calls that wait.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct OperatorCalls {
     pending: BTreeMap<Ticket, Pending>,
     next: u64,
 }
 
 impl OperatorCalls {
+    /// No calls, at a process that starts.
+    pub fn new(incarnation: Incarnation) -> Self {
+        OperatorCalls { pending: BTreeMap::new(), next: incarnation.0 << COUNTER_BITS }
+    }
+
     /// Takes a call in; `None` if too many wait.
     pub fn add(&mut self, now: Millis, caller: Caller, call: OperatorCall) -> Option<Ticket> {
         if self.pending.len() >= MOST_CALLS {
--- a/coordinator/src/core/orders.rs
+++ b/coordinator/src/core/orders.rs
@@ -2,7 +2,11 @@
 //!
 //! The leader of a service's shard becomes the holder by an entry of its own term. Its fence is the term. A holder
 //! that follows another node waits until orders of the former can no longer be taken for a turn within the lease:
-//! the former sent none after its lease in the shard, and that was over when this node was elected.
+//! the former wrote none after its lease in the shard or after it had stepped aside, and that was over when this node
+//! was elected. Once it has waited, the holder says so by a second entry; only then may it, elected again, go on at
+//! once.
+//!
+//! The driver asks [`Holders::may_write`] as the last thing before an order's bytes go to the socket.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -25,8 +29,12 @@
 const HEARTBEATS_EVERY: Millis = 400;
 /// How long before an eviction edges are told that the server will not serve that any more.
 const EVICTION_NOTICE: Millis = 50;
-/// Added to the lease when a holder follows another: orders are taken by servers a little after they are sent.
-const TURN_MARGIN: Millis = 150;
+/// Within this time after it was written an order has left the sender's socket, or never does, in milliseconds.
+pub const ORDER_LEAVES_WITHIN: Millis = 400;
+/// The longest time that an order is reckoned to take over the network, in milliseconds.
+const ORDER_TRAVELS: Millis = 200;
+/// Added to the lease when a holder follows another: orders are taken by servers a little after they are written.
+const TURN_MARGIN: Millis = ORDER_LEAVES_WITHIN + ORDER_TRAVELS;
 /// Orders and reports that may be under way at once.
 const MOST_UNDER_WAY: usize = 512;
 
@@ -38,6 +46,8 @@
     proposed: bool,
     /// The turn, once it has begun.
     turn: Option<OwnTurn>,
+    /// Whether the end of the wait is in the log, or need not be.
+    told_waited: bool,
 }
 
 /// A turn of this node.
@@ -49,11 +59,13 @@
     former_until: Option<Millis>,
 }
 
-/// The right to order the services of a shard for a while.
-#[derive(Clone, Copy, Debug)]
-struct Permit {
-    shard: u32,
-    until: Millis,
+/// An order that was handed to the driver and has not ended.
+#[derive(Clone, Debug)]
+struct UnderWay {
+    service: String,
+    server: ServerId,
+    /// The fence of the turn that it belongs to.
+    fence: u64,
 }
 
 /// What this node orders.
@@ -68,7 +80,7 @@
     /// Servers that each planner has been told of.
     servers: BTreeMap<String, BTreeSet<ServerId>>,
     planned: Vec<Planned>,
-    under_way: HashMap<OrderId, (String, ServerId)>,
+    under_way: HashMap<OrderId, UnderWay>,
     next_order: u64,
     next_plan: Millis,
     next_heartbeats: Millis,
@@ -96,7 +108,8 @@
 
     /// This node leads a shard.
     pub fn elected(&mut self, now: Millis, shard: u32, term: u64) {
-        let leadership = Leadership { term, elected_at: now, proposed: false, turn: None };
+        let leadership =
+            Leadership { term, elected_at: now, proposed: false, turn: None, told_waited: false };
         self.leaderships.insert(shard, leadership);
     }
 
@@ -114,10 +127,11 @@
         }
         let (allowed_from, former_until) = match turn.previous {
             None => (now, None),
-            Some(previous) if previous.node == self.node => (now, Some(now)),
+            Some(_) if !turn.must_wait => (now, Some(now)),
             // The former's lease was over when this node was elected.
             Some(_) => (leadership.elected_at + self.order_lease + TURN_MARGIN, Some(leadership.elected_at)),
         };
+        leadership.told_waited = !turn.must_wait;
         leadership.turn = Some(OwnTurn { allowed_from, former_until });
         for (_, planner) in self.planners.iter_mut().filter(|(service, _)| shard_of(service) == shard) {
             planner.take_over(now, former_until);
@@ -160,13 +174,28 @@
 
     /// An order has ended.
     pub fn ordered(&mut self, now: Millis, order: OrderId, outcome: OrderOutcome) {
-        let Some((service, server)) = self.under_way.remove(&order) else { return };
+        let Some(UnderWay { service, server, fence }) = self.under_way.remove(&order) else { return };
         self.next_plan = now;
+        if self.own_fence(&service) != Some(fence) {
+            // A later turn has started over, and takes all that was under way to be in doubt.
+            return;
+        }
         if let Some(planner) = self.planners.get_mut(&service) {
             planner.outcome(now, &server, outcome);
         }
     }
 
+    /// Whether an order may be written to its server now: the turn that it belongs to goes on, and its lease holds.
+    pub fn may_write(&self, now: Millis, order: OrderId, shards: &Shards) -> bool {
+        let Some(UnderWay { service, fence, .. }) = self.under_way.get(&order) else { return false };
+        self.may_order(now, shard_of(service), shards) && self.own_fence(service) == Some(*fence)
+    }
+
+    /// The fence with which this node orders a service's servers, if it leads their shard.
+    fn own_fence(&self, service: &str) -> Option<u64> {
+        self.leaderships.get(&shard_of(service)).map(|leadership| leadership.term)
+    }
+
     /// A server's report has come, or none has.
     pub fn reported(&mut self, now: Millis, server: &ServerId, report: Option<Report>) {
         let Some(report) = report else { return };
@@ -184,6 +213,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.propose_turns(now, shards);
+        self.tell_waited(now, shards);
         if now < self.next_plan {
             return;
         }
@@ -202,9 +232,11 @@
                 continue;
             }
             self.ask_reports(now, &service, directory, actions);
-            let Some(until) = self.may_order_until(now, shard, shards) else { continue };
+            if !self.may_order(now, shard, shards) {
+                continue;
+            }
             self.tell_contents(now, &service, shard, directory);
-            self.send_orders(now, &service, Permit { shard, until }, directory, actions);
+            self.send_orders(now, &service, shard, directory, actions);
         }
     }
 
@@ -220,12 +252,25 @@
         }
     }
 
-    /// Until when orders may be sent to the servers of a shard's services, if they may be now.
-    fn may_order_until(&self, now: Millis, shard: u32, shards: &Shards) -> Option<Millis> {
-        let allowed_from = self.leaderships.get(&shard)?.turn?.allowed_from;
-        let replica = &shards.get(shard)?.replica;
-        let until = replica.lease_until()?;
-        (allowed_from <= now && now < until).then_some(until)
+    /// Writes down that the wait for another node's orders is over.
+    fn tell_waited(&mut self, now: Millis, shards: &mut Shards) {
+        for (shard, leadership) in &mut self.leaderships {
+            let over = leadership.turn.is_some_and(|turn| turn.allowed_from <= now);
+            if !over || leadership.told_waited {
+                continue;
+            }
+            let holder = Holder { node: self.node, fence: leadership.term };
+            if let Some(replica) = shards.replica_mut(*shard) {
+                leadership.told_waited = replica.propose(now, ServiceState::waited_command(holder)).is_ok();
+            }
+        }
+    }
+
+    /// Whether the servers of a shard's services may be ordered now: the wait is over, and the lease is not.
+    fn may_order(&self, now: Millis, shard: u32, shards: &Shards) -> bool {
+        let turn = self.leaderships.get(&shard).and_then(|leadership| leadership.turn);
+        let lease = shards.get(shard).and_then(|shard| shard.replica.lease_until());
+        turn.is_some_and(|turn| turn.allowed_from <= now) && lease.is_some_and(|until| now < until)
     }
 
     /// Brings a service's planner up to date with the directory.
@@ -278,13 +323,11 @@
         &mut self,
         now: Millis,
         service: &str,
-        permit: Permit,
+        shard: u32,
         directory: &mut Directory,
         actions: &mut Vec<Action>,
     ) {
-        let Some(fence) = self.leaderships.get(&permit.shard).map(|leadership| leadership.term) else {
-            return;
-        };
+        let Some(fence) = self.own_fence(service) else { return };
         let Some(planner) = self.planners.get_mut(service) else { return };
         if self.under_way.len() >= MOST_UNDER_WAY {
             return;
@@ -294,7 +337,7 @@
             let due = if evicts { now + EVICTION_NOTICE } else { now };
             self.planned.push(Planned { due, service: service.to_owned(), order: planned });
         }
-        self.tell_contents(now, service, permit.shard, directory);
+        self.tell_contents(now, service, shard, directory);
         let (due, later) = std::mem::take(&mut self.planned)
             .into_iter()
             .partition(|planned| planned.service == service && planned.due <= now);
@@ -302,8 +345,9 @@
         for Planned { order: planned, .. } in due {
             self.next_order += 1;
             let order = OrderId(self.next_order);
-            self.under_way.insert(order, (service.to_owned(), planned.server.clone()));
-            actions.push(order_action(order, planned, &self.name, fence, permit.until));
+            let under_way = UnderWay { service: service.to_owned(), server: planned.server.clone(), fence };
+            self.under_way.insert(order, under_way);
+            actions.push(order_action(order, planned, &self.name, fence));
         }
     }
 }
@@ -358,7 +402,7 @@
     more
 }
 
-fn order_action(order: OrderId, planned: PlannedOrder, name: &str, fence: u64, until: Millis) -> Action {
+fn order_action(order: OrderId, planned: PlannedOrder, name: &str, fence: u64) -> Action {
     let body = Order {
         operation: planned.operation,
         model: planned.model,
@@ -367,7 +411,7 @@
         lease_holder: name.to_owned(),
         fencing_token: fence,
     };
-    Action::Order { order, server: planned.server, address: planned.address, body, not_after: until }
+    Action::Order { order, server: planned.server, address: planned.address, body }
 }
 
 fn catalogue(runtime: &Runtime) -> Catalogue {
--- a/coordinator/src/core/service_state.rs
+++ b/coordinator/src/core/service_state.rs
@@ -1,4 +1,5 @@
-//! The replicated state of a service shard: which node last held the right to order the services' servers.
+//! The replicated state of a service shard: which node last held the right to order the services' servers, and
+//! whether it had waited for the orders of the holder before it.
 
 use shaletrail_protocol::NodeId;
 
@@ -11,10 +12,22 @@
     pub fence: u64,
 }
 
-/// The state machine of a service shard. Each command is a [`Holder`] that begins its turn.
+/// An entry of a service shard's log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, bitcode::Encode, bitcode::Decode)]
+enum Command {
+    /// A holder's turn begins.
+    Begin(Holder),
+    /// The holder has waited until the orders of the one before it are over: it orders from now on.
+    Waited(Holder),
+}
+
+/// The state machine of a service shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq, bitcode::Encode, bitcode::Decode)]
 pub struct ServiceState {
     holder: Option<Holder>,
+    /// Whether no other node's orders may be less than a lease old. A holder that was replaced by itself before it had
+    /// waited has to wait like one that follows another node.
+    waited: bool,
 }
 
 /// A turn that has begun.
@@ -24,23 +37,43 @@
     pub holder: Holder,
     /// Who held it before.
     pub previous: Option<Holder>,
+    /// Whether another node's orders may be less than a lease old.
+    pub must_wait: bool,
 }
 
 impl ServiceState {
     /// The command that begins a holder's turn.
     pub fn command(holder: Holder) -> Vec<u8> {
-        bitcode::encode(&holder)
+        bitcode::encode(&Command::Begin(holder))
+    }
+
+    /// The command by which a holder tells that it has waited.
+    pub fn waited_command(holder: Holder) -> Vec<u8> {
+        bitcode::encode(&Command::Waited(holder))
     }
 
     /// Applies a command; `None` if it begins no turn, as a later one has begun.
     pub fn apply(&mut self, command: &[u8]) -> Option<Turn> {
-        let holder: Holder = bitcode::decode(command).ok()?;
+        match bitcode::decode(command).ok()? {
+            Command::Begin(holder) => self.begin(holder),
+            Command::Waited(holder) => {
+                self.waited |= self.holder == Some(holder);
+                None
+            }
+        }
+    }
+
+    fn begin(&mut self, holder: Holder) -> Option<Turn> {
         let previous = self.holder;
         if previous.is_some_and(|previous| previous.fence >= holder.fence) {
             return None;
         }
         self.holder = Some(holder);
-        Some(Turn { holder, previous })
+        self.waited = match previous {
+            None => true,
+            Some(previous) => previous.node == holder.node && self.waited,
+        };
+        Some(Turn { holder, previous, must_wait: !self.waited })
     }
 
     /// Who began the last turn.
@@ -48,6 +81,11 @@
         self.holder
     }
 
+    /// Whether the last holder had no other node's orders to wait for any more.
+    pub fn has_waited(&self) -> bool {
+        self.waited
+    }
+
     /// The state in bytes.
     pub fn snapshot(&self) -> Vec<u8> {
         bitcode::encode(self)
--- a/coordinator/src/driver/disk.rs
+++ b/coordinator/src/driver/disk.rs
@@ -2,18 +2,16 @@
 
 use std::collections::VecDeque;
 use std::path::Path;
-use std::rc::Rc;
 use std::time::Duration;
 
 use shaletrail_protocol::settings::Settings;
 use shaletrail_storage::{
-    erase, FolderDisk, Journal, Options, Refused, RefusedReason, Report, StorageError, Stored, Writer,
+    erase, Command, FolderDisk, Journal, Options, Refused, Report, StorageError, Stored, Writer,
     WriterOptions,
 };
 use slog::{error, warn, Logger};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 
-use super::host::Host;
 use super::CoordinatorError;
 use crate::interface::Event;
 
@@ -64,6 +62,30 @@
     Err(failed(last))
 }
 
+/// Takes what is to be made safe: the journal's thread, or what stands for it in a test.
+pub trait Appender {
+    /// Takes records, which are safe once a report names their ticket or a later one.
+    fn append(&self, ticket: u64, records: Vec<(u32, Vec<u8>)>) -> Result<(), Refused>;
+    /// Takes a checkpoint.
+    fn checkpoint(&self, live: Vec<(u32, Vec<u8>)>) -> Result<(), Refused>;
+    /// How long the oldest append that is not safe has been waiting.
+    fn oldest_unfinished(&self) -> Option<Duration>;
+}
+
+impl Appender for Writer {
+    fn append(&self, ticket: u64, records: Vec<(u32, Vec<u8>)>) -> Result<(), Refused> {
+        Writer::append(self, ticket, records)
+    }
+
+    fn checkpoint(&self, live: Vec<(u32, Vec<u8>)>) -> Result<(), Refused> {
+        Writer::checkpoint(self, live)
+    }
+
+    fn oldest_unfinished(&self) -> Option<Duration> {
+        Writer::oldest_unfinished(self)
+    }
+}
+
 /// Records that are to be made safe together.
 struct Append {
     ticket: u64,
@@ -71,31 +93,38 @@
 }
 
 /// The near end of the journal's thread.
-pub struct Disk {
-    writer: Option<Writer>,
-    /// Commands that the thread did not take yet, in order.
+pub struct Disk<A = Writer> {
+    /// `None` if the system gave no thread: nothing is ever safe then.
+    appender: Option<A>,
+    /// Appends that were not taken yet, in order.
     waiting: VecDeque<Append>,
     checkpointing: bool,
 }
 
-impl Disk {
-    /// Starts the thread.
-    pub fn start(journal: Journal<FolderDisk>) -> (Disk, UnboundedReceiver<Report>) {
+impl Disk<Writer> {
+    /// Starts the thread; what it reports is to be told to the core as [`event_of`] says.
+    pub fn start(journal: Journal<FolderDisk>) -> (Self, UnboundedReceiver<Report>) {
         let (sender, reports): (UnboundedSender<Report>, _) = unbounded_channel();
         let report = Box::new(move |report| {
             let _ = sender.send(report);
         });
-        let writer = Writer::start(journal, WriterOptions::default(), report).ok();
-        (Disk { writer, waiting: VecDeque::new(), checkpointing: false }, reports)
+        (Disk::new(Writer::start(journal, WriterOptions::default(), report).ok()), reports)
+    }
+}
+
+impl<A: Appender> Disk<A> {
+    /// The near end of something that takes appends.
+    pub fn new(appender: Option<A>) -> Self {
+        Disk { appender, waiting: VecDeque::new(), checkpointing: false }
     }
 
     /// Whether something has been waiting to be safe for too long.
     pub fn is_late(&self) -> bool {
-        let oldest = self.writer.as_ref().and_then(Writer::oldest_unfinished);
+        let oldest = self.appender.as_ref().and_then(Appender::oldest_unfinished);
         !self.waiting.is_empty() || oldest.is_some_and(|oldest| oldest > SICK_AFTER)
     }
 
-    /// Hands records over; what the thread does not take now waits. Consensus bounds what is under way.
+    /// Hands records over; what is not taken now waits. Consensus bounds what is under way.
     pub fn append(&mut self, ticket: u64, records: Vec<(u32, Vec<u8>)>) {
         self.waiting.push_back(Append { ticket, records });
         self.hand_over();
@@ -104,8 +133,8 @@
     /// Hands a checkpoint over; one that is not taken is asked for again by the next report.
     pub fn checkpoint(&mut self, live: Vec<(u32, Vec<u8>)>) {
         // What waits is part of the live records: its tickets are reported once the append comes through.
-        let Some(writer) = &self.writer else { return };
-        if !self.checkpointing && writer.checkpoint(live).is_ok() {
+        let Some(appender) = &self.appender else { return };
+        if !self.checkpointing && appender.checkpoint(live).is_ok() {
             self.checkpointing = true;
         }
     }
@@ -115,39 +144,30 @@
         self.checkpointing = false;
     }
 
-    /// Hands over what waits.
+    /// Hands over what waits, in order. A report of a ticket speaks for all before it, so that nothing passes what was
+    /// refused: a record over the journal's limit holds up all that follows, and the disk counts as sick.
     pub fn hand_over(&mut self) {
-        let Some(writer) = &self.writer else { return };
+        let Some(appender) = &self.appender else { return };
         while let Some(Append { ticket, records }) = self.waiting.pop_front() {
-            if let Err(Refused { reason, command }) = writer.append(ticket, records) {
-                // A record over the journal's limit cannot be made safe: nothing that rests on it may be answered.
-                if let (RefusedReason::Busy, shaletrail_storage::Command::Append { ticket, records }) =
-                    (reason, command)
-                {
-                    self.waiting.push_front(Append { ticket, records });
-                }
-                return;
+            let Err(Refused { command, .. }) = appender.append(ticket, records) else { continue };
+            if let Command::Append { ticket, records } = command {
+                self.waiting.push_front(Append { ticket, records });
             }
+            return;
         }
     }
 }
 
-/// Brings the thread's reports to the core.
-pub async fn hear(host: Rc<Host>, mut reports: UnboundedReceiver<Report>) {
-    while let Some(report) = reports.recv().await {
-        match report {
-            Report::Done { ticket, wants_checkpoint, .. } => {
-                host.handle(Event::Stored { ticket, wants_checkpoint })
-            }
-            Report::Failed { wants_checkpoint, error, .. } => {
-                host.disk_failed(&error.to_string(), wants_checkpoint)
-            }
-            Report::Checkpointed { .. } => host.checkpoint_ended(),
-            Report::CheckpointFailed { error } => {
-                host.checkpoint_ended();
-                host.disk_failed(&error.to_string(), false);
-            }
-            Report::Stopped => return,
+/// What the core is told of a report; `None` if nothing.
+pub fn event_of(report: &Report) -> Option<Event> {
+    match report {
+        Report::Done { ticket, wants_checkpoint, .. } => {
+            Some(Event::Stored { ticket: *ticket, wants_checkpoint: *wants_checkpoint })
+        }
+        Report::Failed { wants_checkpoint, .. } => {
+            Some(Event::DiskSick { wants_checkpoint: *wants_checkpoint })
         }
+        Report::CheckpointFailed { .. } => Some(Event::DiskSick { wants_checkpoint: false }),
+        Report::Checkpointed { .. } | Report::Stopped => None,
     }
 }
--- a/coordinator/src/driver/host.rs
+++ b/coordinator/src/driver/host.rs
@@ -9,14 +9,16 @@
 use shaletrail_protocol::outside::Heartbeat;
 use shaletrail_protocol::settings::Settings;
 use shaletrail_protocol::{Millis, ServerId};
-use slog::{info, warn, Logger};
+use shaletrail_storage::Report;
+use slog::{debug, info, warn, Logger};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 
-use super::disk::{Disk, Opened};
+use super::disk::{self, Disk, Opened};
 use super::links::Links;
-use super::orders::Orders;
+use super::orders::{deliver, fetch_report, Outgoing};
 use crate::core::Core;
-use crate::interface::{Action, CallId, CoreOptions, Event, Note};
+use crate::interface::{Action, CallId, CoreOptions, Event, Note, OrderId};
 
 /// Where the clock that events carry begins, in milliseconds: nothing of it is ever below.
 const CLOCK_START: Millis = 1_000_000;
@@ -34,7 +36,6 @@
     core: Core,
     links: Links,
     disk: Disk,
-    orders: Orders,
     replies: HashMap<CallId, Reply>,
 }
 
@@ -50,10 +51,9 @@
     pub fn start(options: CoreOptions, settings: &Settings, opened: Opened, log: Logger) -> Rc<Host> {
         let links = Links::new(options.node, options.incarnation, settings.internal_port());
         let core = Core::new(options, opened.stored, CLOCK_START);
-        let orders = Orders::new(log.clone());
         let wants_checkpoint = opened.journal.wants_checkpoint();
         let (disk, reports) = Disk::start(opened.journal);
-        let state = State { core, links, disk, orders, replies: HashMap::new() };
+        let state = State { core, links, disk, replies: HashMap::new() };
         let host = Rc::new_cyclic(|myself| Host {
             state: RefCell::new(state),
             started: Instant::now(),
@@ -61,7 +61,7 @@
             myself: myself.clone(),
             log,
         });
-        tokio::task::spawn_local(super::disk::hear(Rc::clone(&host), reports));
+        tokio::task::spawn_local(Rc::clone(&host).hear_disk(reports));
         host.handle(Event::Stored { ticket: 0, wants_checkpoint });
         host
     }
@@ -107,17 +107,55 @@
                     let _ = reply.send(news);
                 }
             }
-            Action::Order { order, server, address, body, not_after } => {
-                if let Some(host) = self.myself.upgrade() {
-                    state.orders.send(host, order, server, address, body, not_after);
-                }
+            Action::Order { order, server, address, body } => {
+                self.send_order(order, Outgoing { server, address, body });
             }
-            Action::AskReport { server, address } => {
-                if let Some(host) = self.myself.upgrade() {
-                    state.orders.ask(host, server, address);
+            Action::AskReport { server, address } => self.ask_report(server, address),
+            Action::Note(note) => self.note(note),
+        }
+    }
+
+    fn send_order(&self, order: OrderId, outgoing: Outgoing) {
+        let Some(host) = self.myself.upgrade() else { return };
+        let asked = Rc::clone(&host);
+        tokio::task::spawn_local(async move {
+            let outcome = deliver(&outgoing, move || asked.may_write(order)).await;
+            let Outgoing { server, body, .. } = outgoing;
+            debug!(host.log, "order"; "operation" => %body.operation, "model" => body.model,
+                "adapter" => body.adapter.unwrap_or_default(), "server" => server, "outcome" => %outcome);
+            host.handle(Event::Ordered { order, outcome });
+        });
+    }
+
+    /// Whether an order may be written to its server now.
+    fn may_write(&self, order: OrderId) -> bool {
+        self.state.borrow().core.may_write(self.now(), order)
+    }
+
+    fn ask_report(&self, server: ServerId, address: String) {
+        let Some(host) = self.myself.upgrade() else { return };
+        tokio::task::spawn_local(async move {
+            let report = fetch_report(&server, &address).await;
+            host.handle(Event::Reported { server, report });
+        });
+    }
+
+    /// Brings the reports of the journal's thread to the core.
+    async fn hear_disk(self: Rc<Self>, mut reports: UnboundedReceiver<Report>) {
+        while let Some(report) = reports.recv().await {
+            match &report {
+                Report::Checkpointed { .. } => self.checkpoint_ended(),
+                Report::CheckpointFailed { error } => {
+                    self.checkpoint_ended();
+                    warn!(self.log, "disk failed"; "error" => %error);
                 }
+                Report::Failed { error, .. } => warn!(self.log, "disk failed"; "error" => %error),
+                Report::Done { .. } => {}
+                Report::Stopped => return,
+            }
+            if let Some(event) = disk::event_of(&report) {
+                self.handle(event);
             }
-            Action::Note(note) => self.note(note),
         }
     }
 
@@ -181,14 +219,8 @@
         answer.await.ok()
     }
 
-    /// The disk has refused something.
-    pub fn disk_failed(&self, error: &str, wants_checkpoint: bool) {
-        warn!(self.log, "disk failed"; "error" => error);
-        self.handle(Event::DiskSick { wants_checkpoint });
-    }
-
     /// A checkpoint of the journal has ended; what waited for it goes on.
-    pub fn checkpoint_ended(&self) {
+    fn checkpoint_ended(&self) {
         let mut state = self.state.borrow_mut();
         state.disk.checkpoint_ended();
         state.disk.hand_over();
--- a/coordinator/src/driver/mod.rs
+++ b/coordinator/src/driver/mod.rs
@@ -1,12 +1,16 @@
 //! Sockets, disk and clock of a coordinator, around the decisions of [`crate::core::Core`].
+//!
+//! [`host`] owns the core and carries out its actions; [`links`], [`orders`] and [`disk`] do one kind of work each and
+//! know nothing of it; [`control`] and [`polls`] bring it what callers ask.
 
-mod control;
-mod disk;
-mod host;
-mod links;
-mod orders;
-mod polls;
-mod sockets;
+pub mod control;
+pub mod disk;
+pub mod gate;
+pub mod host;
+pub mod links;
+pub mod orders;
+pub mod polls;
+pub mod sockets;
 
 use std::path::PathBuf;
 use std::rc::Rc;
--- a/coordinator/src/driver/orders.rs
+++ b/coordinator/src/driver/orders.rs
@@ -1,81 +1,94 @@
 //! Orders on their way to servers: one connection each, closed after the answer.
 
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{Connection, SendRequest};
+use hyper::client::conn::http1::handshake;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use shaletrail_protocol::outside::{Order, Report};
-use shaletrail_protocol::{Millis, ServerId};
-use slog::{debug, Logger};
-
+use shaletrail_protocol::ServerId;
 use tokio::net::TcpStream;
 
-use super::host::Host;
+use super::gate::GatedStream;
 use super::sockets;
-use crate::interface::{Event, OrderId, OrderOutcome};
+use crate::core::orders::ORDER_LEAVES_WITHIN;
+use crate::interface::OrderOutcome;
 
 /// Within which a server answers an order.
 const ANSWER_TIME: Duration = Duration::from_millis(1500);
-
 /// The longest report taken, in bytes.
 const LONGEST_REPORT: usize = 256 << 10;
+/// The header by which another server than the one that is meant, and a later start of it, refuses.
+const EXPECTED_INSTANCE: &str = "expected-instance";
 
-/// Sends orders.
-pub struct Orders {
-    log: Logger,
+/// An order for a server.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// The server's id.
+    pub server: ServerId,
+    /// Where it is, `IP:PORT`.
+    pub address: String,
+    /// The order.
+    pub body: Order,
 }
 
-impl Orders {
-    /// Nothing under way.
-    pub fn new(log: Logger) -> Self {
-        Orders { log }
+/// Sends an order on a connection of its own, if `may_write` allows it then; how that ended. It is sent once only:
+/// no answer is [`OrderOutcome::Unknown`], as the server may have taken the order.
+pub async fn deliver(outgoing: &Outgoing, may_write: impl Fn() -> bool + Unpin + 'static) -> OrderOutcome {
+    let Some(request) = order_request(outgoing) else { return OrderOutcome::NotSent };
+    let Some(stream) = connect(&outgoing.address).await else { return OrderOutcome::NotSent };
+    if sockets::give_up_after(&stream, Duration::from_millis(ORDER_LEAVES_WITHIN)).is_err() {
+        return OrderOutcome::NotSent;
     }
-
-    /// Sends an order unless its lease has run out; an [`Event::Ordered`] follows.
-    pub fn send(
-        &self,
-        host: Rc<Host>,
-        order: OrderId,
-        server: ServerId,
-        address: String,
-        body: Order,
-        not_after: Millis,
-    ) {
-        let log = self.log.clone();
-        tokio::task::spawn_local(async move {
-            let outcome = deliver(&host, &server, &address, &body, not_after).await;
-            debug!(log, "order"; "operation" => %body.operation, "model" => &body.model,
-                "adapter" => body.adapter.as_deref().unwrap_or(""), "server" => &server, "outcome" => %outcome);
-            host.handle(Event::Ordered { order, outcome });
-        });
+    let (stream, written) = GatedStream::new(stream, may_write);
+    let Ok((mut sender, connection)) = handshake(TokioIo::new(stream)).await else {
+        return OrderOutcome::NotSent;
+    };
+    let driving = tokio::task::spawn_local(connection);
+    let answer = tokio::time::timeout(ANSWER_TIME, sender.send_request(request)).await;
+    driving.abort();
+    match answer {
+        Ok(Ok(answer)) => outcome(answer.status()),
+        Ok(Err(_)) | Err(_) => unanswered(&written),
     }
+}
+
+fn order_request(outgoing: &Outgoing) -> Option<Request<Full<Bytes>>> {
+    let body = sonic_rs::to_vec(&outgoing.body).ok()?;
+    let request = Request::post("/order")
+        .header(HOST, &outgoing.address)
+        .header(CONTENT_TYPE, "application/json")
+        .header(EXPECTED_INSTANCE, &outgoing.server)
+        .header(CONNECTION, "close");
+    request.body(Full::new(Bytes::from(body))).ok()
+}
 
-    /// Asks a server for its report; an [`Event::Reported`] follows.
-    pub fn ask(&self, host: Rc<Host>, server: ServerId, address: String) {
-        tokio::task::spawn_local(async move {
-            let report = fetch_report(&server, &address).await;
-            host.handle(Event::Reported { server, report });
-        });
+fn unanswered(written: &Rc<Cell<bool>>) -> OrderOutcome {
+    if written.get() {
+        OrderOutcome::Unknown
+    } else {
+        OrderOutcome::NotSent
     }
 }
 
-async fn fetch_report(server: &str, address: &str) -> Option<Report> {
+/// Asks a server for its report; `None` if none comes in time.
+pub async fn fetch_report(server: &str, address: &str) -> Option<Report> {
     let request = Request::get("/report")
         .header(HOST, address)
-        .header("expected-instance", server)
+        .header(EXPECTED_INSTANCE, server)
         .header(CONNECTION, "close")
         .body(Full::new(Bytes::new()))
         .ok()?;
-    let (sender, connection) = connect(address).await?;
+    let (mut sender, connection) = handshake(TokioIo::new(connect(address).await?)).await.ok()?;
     let asking = async move {
         let answer =
-            { sender }.send_request(request).await.ok().filter(|answer| answer.status() == StatusCode::OK)?;
+            sender.send_request(request).await.ok().filter(|answer| answer.status() == StatusCode::OK)?;
         let body = Limited::new(answer.into_body(), LONGEST_REPORT).collect().await.ok()?;
         sonic_rs::from_slice(&body.to_bytes()).ok()
     };
@@ -85,34 +98,8 @@
     report
 }
 
-type Connected = (SendRequest<Full<Bytes>>, Connection<TokioIo<TcpStream>, Full<Bytes>>);
-
-async fn connect(address: &str) -> Option<Connected> {
-    let stream = sockets::connect(address.parse::<SocketAddrV4>().ok()?).await.ok()?;
-    hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()
-}
-
-async fn deliver(host: &Host, server: &str, address: &str, order: &Order, not_after: Millis) -> OrderOutcome {
-    let Ok(body) = sonic_rs::to_vec(order) else { return OrderOutcome::NotSent };
-    let request = Request::post("/order")
-        .header(HOST, address)
-        .header(CONTENT_TYPE, "application/json")
-        .header("expected-instance", server)
-        .header(CONNECTION, "close")
-        .body(Full::new(Bytes::from(body)));
-    let Ok(request) = request else { return OrderOutcome::NotSent };
-    let Some((mut sender, connection)) = connect(address).await else { return OrderOutcome::NotSent };
-    // After a long pause of this process the lease may have gone to another node.
-    if host.now() >= not_after {
-        return OrderOutcome::NotSent;
-    }
-    let driving = tokio::task::spawn_local(connection);
-    let answer = tokio::time::timeout(ANSWER_TIME, sender.send_request(request)).await;
-    driving.abort();
-    match answer {
-        Ok(Ok(answer)) => outcome(answer.status()),
-        Ok(Err(_)) | Err(_) => OrderOutcome::Unknown,
-    }
+async fn connect(address: &str) -> Option<TcpStream> {
+    sockets::connect(address.parse::<SocketAddrV4>().ok()?).await.ok()
 }
 
 fn outcome(status: StatusCode) -> OrderOutcome {
--- a/coordinator/src/driver/sockets.rs
+++ b/coordinator/src/driver/sockets.rs
@@ -29,7 +29,16 @@
 /// Options that every connection has, where the system takes them.
 pub fn tune(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    let _ = give_up_after(stream, UNACKNOWLEDGED);
+}
+
+/// Lets written bytes stay without an acknowledgement for so long: after that the system sends them no more, and the
+/// connection has failed.
+///
+/// # Errors
+/// The system does not take the option.
+pub fn give_up_after(stream: &TcpStream, unacknowledged: Duration) -> std::io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(unacknowledged))
 }
 
 /// Connects within [`CONNECT_TIME`].
--- a/coordinator/src/interface.rs
+++ b/coordinator/src/interface.rs
@@ -195,7 +195,8 @@
         /// The news.
         reply: Box<PollReply>,
     },
-    /// Send an order to a server, unless the steady clock has passed `not_after`.
+    /// Send an order to a server if [`Core::may_write`](crate::core::Core::may_write) allows it once the connection is
+    /// up; an [`Event::Ordered`] follows.
     Order {
         /// Its name.
         order: OrderId,
@@ -205,8 +206,6 @@
         address: String,
         /// The order.
         body: Order,
-        /// When the lease ends on which it rests, on the clock that events carry, in milliseconds.
-        not_after: u64,
     },
     /// Ask a server for its report; an [`Event::Reported`] follows.
     AskReport {
--- a/coordinator/tests/common/mod.rs
+++ b/coordinator/tests/common/mod.rs
@@ -34,15 +34,20 @@
 impl Alone {
     /// The first of `coordinators` machines that start for the first time; the others are never heard.
     pub fn new(coordinators: u8) -> Self {
-        Alone::start(coordinators, true, Vec::new())
+        Alone::start(coordinators, true, Vec::new(), Incarnation(77))
+    }
+
+    /// The same, as a certain start of the process.
+    pub fn incarnation(coordinators: u8, incarnation: u64) -> Self {
+        Alone::start(coordinators, true, Vec::new(), Incarnation(incarnation))
     }
 
     /// The only coordinator of its system, started again with what its disk holds.
     pub fn restarted(stored: Vec<Stored>) -> Self {
-        Alone::start(1, false, stored)
+        Alone::start(1, false, stored, Incarnation(77))
     }
 
-    fn start(coordinators: u8, bootstrap: bool, stored: Vec<Stored>) -> Self {
+    fn start(coordinators: u8, bootstrap: bool, stored: Vec<Stored>, incarnation: Incarnation) -> Self {
         let seeds: Vec<String> = (1..=coordinators).map(|number| format!("{}:8146", node(number))).collect();
         let text = format!(
             "nodeName=core-1\nip={}\nzone=a\nephemeralPorts=7660,7675\nseedNodes={}\nbootstrap={bootstrap}\n\
@@ -52,7 +57,7 @@
             coordinators / 2,
         );
         let settings: Settings = text.parse().expect("the settings are read");
-        let options = CoreOptions::from_settings(&settings, Incarnation(77));
+        let options = CoreOptions::from_settings(&settings, incarnation);
         let now = 1_000_000;
         let core = Core::new(options, stored, now);
         Alone { core, now, syncs: true, actions: Vec::new(), unsynced: None, next_call: 0 }
--- a/coordinator/tests/parts.rs
+++ b/coordinator/tests/parts.rs
@@ -11,7 +11,7 @@
 use shaletrail_coordinator::core::voters::{group_size, wanted, Candidate};
 use shaletrail_coordinator::interface::CallId;
 use shaletrail_protocol::inside::{Demand, DirectoryCursor, Observation, OperatorCall};
-use shaletrail_protocol::NodeId;
+use shaletrail_protocol::{Incarnation, NodeId};
 
 fn candidate(number: u8, absent: bool, caught_up: bool) -> Candidate {
     Candidate { node: node(number), absent, caught_up }
@@ -79,7 +79,7 @@
 #[test]
 fn given_a_call_with_a_large_body_when_it_waits_then_it_has_more_time() {
     // given
-    let mut calls = OperatorCalls::default();
+    let mut calls = OperatorCalls::new(Incarnation(1));
     let change = |bytes: usize| OperatorCall::Change { whole: true, base: 0, body: vec![b' '; bytes] };
 
     // when
@@ -94,7 +94,7 @@
 #[test]
 fn given_calls_at_a_leader_when_leadership_changes_then_only_what_rests_on_it_starts_over() {
     // given
-    let mut calls = OperatorCalls::default();
+    let mut calls = OperatorCalls::new(Incarnation(1));
     let mut add = |stage| {
         let ticket = calls.add(0, Caller::Here(CallId(1)), OperatorCall::Read).expect("there is room");
         calls.get_mut(ticket).expect("it waits").stage = stage;
--- a/hollow/src/core_node.rs
+++ b/hollow/src/core_node.rs
@@ -289,8 +289,9 @@
                 let what = AtEdge::Reply { poll, frame };
                 world.schedule.after(latency(here, there), Happening::Edge(edge, start, what));
             }
-            Action::Order { order, server, address, body, not_after } => {
-                let Some(place) = site::server_at(&address).filter(|_| now < not_after) else { return };
+            Action::Order { order, server, address, body } => {
+                let allowed = self.core.as_ref().is_some_and(|core| core.may_write(now, order));
+                let Some(place) = site::server_at(&address).filter(|_| allowed) else { return };
                 let (here, there) = (zone_of(self.place), zone_of(place));
                 let bytes = sonic_rs::to_vec(&body).map(|bytes| bytes.len()).unwrap_or_default();
                 self.ledger.sent(Kind::Order, bytes, here != there);
--- a/simulation/src/coordinator.rs
+++ b/simulation/src/coordinator.rs
@@ -40,7 +40,6 @@
     server: ServerId,
     address: NodeId,
     body: Order,
-    not_after: Millis,
     /// Named once it has been sent.
     number: Option<CallNumber>,
 }
@@ -87,6 +86,11 @@
         &self.core
     }
 
+    /// Whether the connection of an order is coming up, over which nothing was written yet.
+    pub fn has_unsent_orders(&self) -> bool {
+        self.orders.values().any(|under_way| under_way.number.is_none())
+    }
+
     /// The process is told to end: everybody who waits is told to ask elsewhere.
     pub fn stop(&mut self, world: &mut World, disk: &MachineDisk) {
         self.tell(world, disk, Event::Stopping);
@@ -190,8 +194,8 @@
             Action::AnswerPoll { call, reply } => {
                 self.answer(world, call, Answer::Poll(frame::encode(&*reply)));
             }
-            Action::Order { order, server, address, body, not_after } => {
-                self.begin_order(world, order, server, &address, body, not_after);
+            Action::Order { order, server, address, body } => {
+                self.begin_order(world, order, server, &address, body);
             }
             Action::AskReport { server, address } => self.ask_report(world, server, &address),
             Action::Note(note) => world.witness.note(world.now, self.node, note),
@@ -263,12 +267,11 @@
         server: ServerId,
         address: &str,
         body: Order,
-        not_after: Millis,
     ) {
         let address = server_node(address);
         let up = world.network.can_connect(self.node, address);
         let takes = if up { world.between(ROUND_TRIP) } else { CONNECT_TIME };
-        self.orders.insert(order, OrderUnderWay { server, address, body, not_after, number: None });
+        self.orders.insert(order, OrderUnderWay { server, address, body, number: None });
         world.wake(self.node, world.now + takes, Timer::OrderConnected(order));
     }
 
@@ -276,7 +279,7 @@
         let now = self.clock(world);
         let Some(under_way) = self.orders.get_mut(&order) else { return };
         let up = world.network.can_connect(self.node, under_way.address);
-        if !up || now >= under_way.not_after {
+        if !up || !self.core.may_write(now, order) {
             return self.end_order(world, disk, order, OrderOutcome::NotSent);
         }
         let number = world.number();
