--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -23,7 +23,7 @@
 use shaletrail_protocol::{Millis, NodeId};
 use shaletrail_storage::Stored;
 
-use crate::interface::{Action, CoreOptions, Event};
+use crate::interface::{Action, CoreOptions, Event, OrderId};
 use demand::{Edges, Gathered, SharingTimes};
 use memory::DirectoryMemory;
 use operator::{Caller, OperatorCalls, Ticket};
@@ -152,6 +152,11 @@
         &self.directory
     }
 
+    /// Whether an order may be written to its server now; to be asked as the last thing before its bytes go out.
+    pub fn may_write(&self, now: Millis, order: OrderId) -> bool {
+        self.holders.may_write(now, order, &self.shards)
+    }
+
     /// Whether this node reaches a majority of the voters.
     pub fn is_in_touch(&self) -> bool {
         self.in_touch
