--- a/simulation/src/calls.rs
+++ b/simulation/src/calls.rs
@@ -32,6 +32,11 @@
         self.operator.send_change(&mut self.world, change, Some(node));
     }
 
+    /// Sends a change, the first try to a certain coordinator, until it is answered.
+    pub fn send_first_to(&mut self, node: NodeId, change: u64) {
+        self.operator.send_change_first_to(&mut self.world, change, node);
+    }
+
     /// The operator changes one item of the configuration that it knows.
     pub fn update(&mut self) -> u64 {
         let version = self.operator.known_version() + self.world.between(1..=3);
--- a/simulation/src/checks.rs
+++ b/simulation/src/checks.rs
@@ -7,7 +7,7 @@
 
 use crate::operator::version_of;
 use crate::site;
-use crate::witness::{OrderSeen, Outcome, Sending, Witness};
+use crate::witness::{ChangeSent, OrderSeen, Outcome, Sending, Witness};
 
 /// Loads allowed in a window beyond the store's rate.
 const LOADS_BEYOND: f64 = 3.0;
@@ -54,6 +54,30 @@
         /// The change.
         change: u64,
     },
+    /// A change was refused on grounds that cannot be: its own base, or a version older than one that had been
+    /// acknowledged or read before.
+    FalseConflict {
+        /// The change.
+        change: u64,
+        /// What it was built on.
+        base: u64,
+        /// The version that was said to be current.
+        current: u64,
+        /// The newest version that was known to be in force before the change was sent.
+        known: u64,
+    },
+    /// A proper change was refused as one that cannot be taken.
+    RefusedThoughProper {
+        /// The change.
+        change: u64,
+    },
+    /// A change that was acknowledged is not among those on which a later one was built.
+    Lost {
+        /// The change that was acknowledged.
+        change: u64,
+        /// The later one, which is in force or acknowledged.
+        later: u64,
+    },
     /// A read that began after an acknowledgement does not know it.
     StaleRead {
         /// When it began.
@@ -194,6 +218,8 @@
 /// All rules that were broken.
 pub fn violations(witness: &Witness, bounds: &Bounds) -> Vec<Violation> {
     let mut found = configuration(witness);
+    found.extend(refusals(witness));
+    found.extend(lost(witness));
     found.extend(edges(witness));
     found.extend(drains(witness, bounds));
     found.extend(requests(witness, bounds));
@@ -234,6 +260,50 @@
     found
 }
 
+fn refusals(witness: &Witness) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for refusal in &witness.refusals {
+        let Some(change) = witness.changes.get(&refusal.change) else { continue };
+        let read = witness.reads.iter().filter(|read| read.at < refusal.begun);
+        let read = read.map(|read| version_of(&read.document)).max().unwrap_or_default();
+        let known = witness.acknowledged_version(refusal.begun).max(read);
+        if refusal.current == change.base || refusal.current < known {
+            found.push(Violation::FalseConflict {
+                change: refusal.change,
+                base: change.base,
+                current: refusal.current,
+                known,
+            });
+        }
+    }
+    let improper = |change: &ChangeSent| change.outcomes.iter().any(|(_, outcome)| *outcome == Outcome::Invalid);
+    let changes = witness.changes.iter().filter(|(_, change)| improper(change));
+    found.extend(changes.map(|(number, _)| Violation::RefusedThoughProper { change: *number }));
+    found
+}
+
+/// Each change names the version that it was built on: none that was acknowledged may lie between the two.
+fn lost(witness: &Witness) -> Vec<Violation> {
+    let acknowledged: BTreeMap<u64, u64> = witness
+        .changes
+        .iter()
+        .filter(|(_, change)| change.acknowledged_at().is_some())
+        .map(|(number, change)| (change.version, *number))
+        .collect();
+    let in_force = witness.in_force.iter().filter_map(|seen| seen.change);
+    let read = witness.reads.iter().filter_map(|read| site::marked(&read.document));
+    let taken: BTreeSet<u64> = acknowledged.values().copied().chain(in_force).chain(read).collect();
+    let mut found = Vec::new();
+    for later in taken {
+        let Some(ChangeSent { base, version, .. }) = witness.changes.get(&later) else { continue };
+        if base + 1 < *version {
+            let between = acknowledged.range(base + 1..*version);
+            found.extend(between.map(|(_, change)| Violation::Lost { change: *change, later }));
+        }
+    }
+    found
+}
+
 /// Whether two configurations have the same items, in whichever order.
 fn same(one: &serde_json::Value, other: &serde_json::Value) -> bool {
     let sorted = |document: &serde_json::Value| {
@@ -371,7 +441,7 @@
     };
     for order in witness.orders.iter().filter(|order| !healed(order)) {
         let Some(before) = last.insert(&order.server, order) else { continue };
-        let another = before.holder != order.holder;
+        let another = before.holder != order.holder || before.from != order.from;
         if order.token < before.token || (another && order.token == before.token) {
             found.push(Violation::Fences { before: before.clone(), after: order.clone() });
         }
--- a/simulation/src/coordinator.rs
+++ b/simulation/src/coordinator.rs
@@ -45,6 +45,15 @@
     number: Option<CallNumber>,
 }
 
+/// Where a process ends in the middle of its work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashPoint {
+    /// Between two actions of the core, after this many more of them.
+    Action(u32),
+    /// Between a write that is safe on the disk and the core's hearing of it, after this many more writes.
+    Stored(u32),
+}
+
 /// A coordinator's process.
 pub struct Coordinator {
     node: NodeId,
@@ -55,6 +64,8 @@
     next_call: u64,
     orders: BTreeMap<OrderId, OrderUnderWay>,
     reports: BTreeMap<CallNumber, ServerId>,
+    crash_point: Option<CrashPoint>,
+    crashed: bool,
 }
 
 impl Coordinator {
@@ -76,6 +87,8 @@
             next_call: 0,
             orders: BTreeMap::new(),
             reports: BTreeMap::new(),
+            crash_point: None,
+            crashed: false,
         };
         coordinator.tell(world, disk, Event::Stored { ticket: 0, wants_checkpoint });
         world.wake(coordinator.node, world.now, Timer::Tick);
@@ -87,6 +100,16 @@
         &self.core
     }
 
+    /// Has the process end in the middle of its work.
+    pub fn crash_at(&mut self, point: CrashPoint) {
+        self.crash_point = Some(point);
+    }
+
+    /// Whether it has come to the point at which it ends: it does nothing any more.
+    pub fn has_crashed(&self) -> bool {
+        self.crashed
+    }
+
     /// The process is told to end: everybody who waits is told to ask elsewhere.
     pub fn stop(&mut self, world: &mut World, disk: &MachineDisk) {
         self.tell(world, disk, Event::Stopping);
@@ -163,14 +186,38 @@
     }
 
     fn tell(&mut self, world: &mut World, disk: &MachineDisk, event: Event) {
+        if self.crashed {
+            return;
+        }
         let now = self.clock(world);
         let mut actions = Vec::new();
         self.core.handle(now, event, &mut actions);
         for action in actions {
+            if self.comes_to_action() {
+                return;
+            }
             self.carry_out(world, disk, action);
         }
     }
 
+    /// Counts an action; whether the process ends before it.
+    fn comes_to_action(&mut self) -> bool {
+        if let Some(CrashPoint::Action(left)) = &mut self.crash_point {
+            self.crashed = *left == 0;
+            *left = left.saturating_sub(1);
+        }
+        self.crashed
+    }
+
+    /// Counts a write that is safe; whether the process ends before the core hears of it.
+    fn comes_to_stored(&mut self) -> bool {
+        if let Some(CrashPoint::Stored(left)) = &mut self.crash_point {
+            self.crashed = *left == 0;
+            *left = left.saturating_sub(1);
+        }
+        self.crashed
+    }
+
     fn carry_out(&mut self, world: &mut World, disk: &MachineDisk, action: Action) {
         match action {
             Action::Send { to, message } => {
@@ -209,6 +256,7 @@
         self.wake_for_disk(world, again);
         for report in reports {
             let event = match report {
+                DiskReport::Done { .. } if self.comes_to_stored() => return,
                 DiskReport::Done { ticket, wants_checkpoint } => Event::Stored { ticket, wants_checkpoint },
                 DiskReport::Failed { wants_checkpoint } => Event::DiskSick { wants_checkpoint },
             };
--- a/simulation/src/fleet.rs
+++ b/simulation/src/fleet.rs
@@ -317,6 +317,7 @@
                 if let Some(disk) = self.disks.get(&to) {
                     coordinator.receive(&mut self.world, disk, from, message);
                 }
+                self.end_coordinator_if_crashed(to);
             }
             Some(Process::Edge(edge)) => edge.receive(&mut self.world, message),
             Some(Process::Server(server)) => {
@@ -347,6 +348,7 @@
                 if let Some(disk) = self.disks.get(&node) {
                     coordinator.wake(&mut self.world, disk, timer);
                 }
+                self.end_coordinator_if_crashed(node);
             }
             Some(Process::Edge(edge)) => {
                 let seeds = self.seeds.get(&node).map(Vec::as_slice).unwrap_or_default();
@@ -365,6 +367,18 @@
         self.end_server_if_over(node);
     }
 
+    /// A process that has come to its crash point is killed, or its machine loses power.
+    fn end_coordinator_if_crashed(&mut self, node: NodeId) {
+        if !self.coordinator(node).is_some_and(Coordinator::has_crashed) {
+            return;
+        }
+        if self.world.chance(0.5) {
+            self.kill(node);
+        } else {
+            self.lose_power(node);
+        }
+    }
+
     fn end_server_if_over(&mut self, node: NodeId) {
         if self.server(node).is_some_and(ModelServer::has_ended) {
             self.crash_server(node);
--- a/simulation/src/history.rs
+++ b/simulation/src/history.rs
@@ -1,15 +1,23 @@
 //! Random histories: all kinds of trouble mixed, within what the system must survive, and a calm end in which it must
 //! be in service again.
 
+mod calls;
 mod core;
+mod cuts;
+mod losses;
+mod points;
+mod races;
+mod storms;
 
-use std::collections::BTreeMap;
+pub use points::Point;
+
+use std::collections::{BTreeMap, BTreeSet};
 
 use shaletrail_protocol::{Millis, NodeId};
 use shaletrail_storage::memory::Faults;
 
 use crate::fleet::{Fleet, FleetOptions};
-use crate::network::Conditions;
+use crate::network::{Conditions, Disorder};
 use crate::site::{self, Models, AGAIN, LLM, ONCE, WEB};
 use crate::world::World;
 
@@ -27,8 +35,12 @@
 const MOST_CALLS: usize = 8;
 /// The calm in which everything must come into service again.
 const RECOVERY: Millis = 8_000;
+/// Within which all requests have their answers.
+const SERVED_WITHIN: Millis = 7_000;
 /// `ackTimeoutMs`.
 const ACKNOWLEDGED_WITHIN: Millis = 4_000;
+/// Within which all members have the same configuration once all trouble is over.
+const CAUGHT_UP_WITHIN: Millis = 4_000;
 /// `convergenceMs`.
 const CONVERGED_WITHIN: Millis = 2_000;
 
@@ -52,6 +64,12 @@
 }
 
 impl Mix {
+    /// A few requests and nothing else: what a history of one point begins with.
+    pub(crate) fn requests_only() -> Self {
+        let requests = 0.25;
+        Mix { core: 0.0, all: 0.0, edge: 0.0, server: 0.0, operator: 0.0, requests, links: 0.0 }
+    }
+
     /// A bit of everything.
     pub fn everything() -> Self {
         Mix { core: 0.03, all: 0.003, edge: 0.02, server: 0.03, operator: 0.08, requests: 0.6, links: 0.01 }
@@ -86,6 +104,7 @@
     Successor,
     Server(NodeId),
     Links,
+    Disorder,
 }
 
 /// A history under way.
@@ -101,6 +120,8 @@
     calm_since: Option<Millis>,
     links_well: bool,
     acknowledged: Vec<u64>,
+    /// Changes that may be sent again.
+    sent: Vec<u64>,
 }
 
 impl History {
@@ -122,8 +143,15 @@
             ..FleetOptions::default()
         };
         let coordinators_made = options.coordinators;
-        let fleet = Fleet::ready(options);
-        let mut history = History {
+        let mut history = History::begin(Fleet::ready(options), mix, coordinators_made);
+        history.go_on(duration);
+        history.come_to_rest();
+        history.fleet.check();
+        history.fleet
+    }
+
+    fn begin(fleet: Fleet, mix: Mix, coordinators_made: u8) -> Self {
+        History {
             fleet,
             mix,
             endings: Vec::new(),
@@ -132,17 +160,14 @@
             calm_since: None,
             links_well: true,
             acknowledged: Vec::new(),
-        };
-        history.go_on(duration);
-        history.come_to_rest();
-        history.fleet.check();
-        history.fleet
+            sent: Vec::new(),
+        }
     }
 
     fn go_on(&mut self, duration: Millis) {
         let end = self.fleet.world.now + duration;
         while self.fleet.world.now < end {
-            let step = self.world().between(STEP);
+            let step = self.world().between(STEP).min(end - self.fleet.world.now);
             self.fleet.run(step);
             self.watch_acknowledgements();
             self.end_what_is_due();
@@ -280,7 +305,9 @@
             Ending::Links => {
                 self.links_well = true;
                 self.world().network.set_conditions(Conditions::default());
+                self.world().network.clear_special();
             }
+            Ending::Disorder => self.world().network.set_disorder(Disorder::default()),
         }
     }
 
@@ -394,6 +421,7 @@
             self.end(ending);
         }
         self.world().network.set_conditions(Conditions::default());
+        self.world().network.set_disorder(Disorder::default());
         self.fleet.heal_all();
         self.fleet.operator.lost_answers = 0.0;
         self.fleet.run(RECOVERY);
@@ -403,9 +431,23 @@
         let converged = self.fleet.run_until(CONVERGED_WITHIN, |fleet| fleet.is_in_force(change));
         assert!(converged, "{change} is not in force\n{}", self.fleet.describe());
         assert_eq!(self.fleet.read_within(ACKNOWLEDGED_WITHIN), change, "{}", self.fleet.describe());
+        self.assert_caught_up();
         self.serve();
     }
 
+    /// All coordinators that serve have the same configuration, and no voter is left behind.
+    fn assert_caught_up(&mut self) {
+        let caught_up = |fleet: &Fleet| {
+            let versions = fleet.coordinators().into_iter().map(|node| {
+                fleet.coordinator(node).map(|coordinator| coordinator.core().configuration_version())
+            });
+            let versions: BTreeSet<Option<u64>> = versions.collect();
+            versions.len() == 1 && !versions.contains(&None)
+        };
+        let all = self.fleet.run_until(CAUGHT_UP_WITHIN, caught_up);
+        assert!(all, "a member has not caught up\n{}", self.fleet.describe());
+    }
+
     /// Requests at all edges are served, plain ones at once and those for models once these are there.
     fn serve(&mut self) {
         let mut plain = Vec::new();
@@ -416,7 +458,9 @@
                 for_models.push(self.fleet.ask_model(node, AGAIN, model, None));
             }
         }
-        self.fleet.run(7_000);
+        let all: Vec<u64> = plain.iter().chain(&for_models).copied().collect();
+        let answered = |fleet: &Fleet| all.iter().all(|request| fleet.status(*request).is_some());
+        self.fleet.run_until(SERVED_WITHIN, answered);
         let served = |requests: &[u64]| {
             requests.iter().filter(|request| self.fleet.status(**request) == Some(200)).count()
         };
--- a/simulation/src/network.rs
+++ b/simulation/src/network.rs
@@ -37,6 +37,18 @@
     }
 }
 
+/// What goes wrong with the order of messages between coordinators: a connection that is made anew may bring a
+/// message a second time, or leave one behind that still comes from the connection before it.
+#[derive(Clone, Debug, Default)]
+pub struct Disorder {
+    /// The share of messages that come a second time, later.
+    pub doubled: f64,
+    /// The share of messages that are overtaken by later ones.
+    pub overtaken: f64,
+    /// By how much a message may be late, in milliseconds.
+    pub late: Millis,
+}
+
 struct Flight {
     sent: Millis,
     arrives: Millis,
@@ -51,6 +63,9 @@
     unpowered: BTreeSet<NodeId>,
     conditions: Conditions,
     special: BTreeMap<Direction, Conditions>,
+    disorder: Disorder,
+    /// Messages that are on their way outside of the usual order.
+    strays: BTreeMap<Direction, Vec<(Millis, Message)>>,
 }
 
 /// What has come over a link.
@@ -78,6 +93,11 @@
         self.special.clear();
     }
 
+    /// Sets what goes wrong with the order of messages between coordinators.
+    pub fn set_disorder(&mut self, disorder: Disorder) {
+        self.disorder = disorder;
+    }
+
     /// Cuts or joins one direction; whether that changed anything.
     pub fn set_cut(&mut self, direction: Direction, cut: bool) -> bool {
         if cut {
@@ -120,6 +140,35 @@
     /// Loses all that is on its way to or from a machine.
     pub fn drop_flights(&mut self, node: NodeId) {
         self.flights.retain(|(from, to), _| *from != node && *to != node);
+        self.strays.retain(|(from, to), _| *from != node && *to != node);
+    }
+
+    /// Loses all that is on its way in one direction.
+    pub fn reset(&mut self, direction: Direction) {
+        self.flights.remove(&direction);
+    }
+
+    /// Has a message between coordinators come late, outside of the usual order, or a second time. When that
+    /// arrives, and the message if it still goes the usual way.
+    pub fn stray(
+        &mut self,
+        now: Millis,
+        direction: Direction,
+        message: Message,
+        random: &mut Pcg64,
+    ) -> (Option<Millis>, Option<Message>) {
+        let Disorder { doubled, overtaken, late } = self.disorder;
+        if doubled + overtaken <= 0.0 || !matches!(message, Message::Core(_)) {
+            return (None, Some(message));
+        }
+        let draw: f64 = random.random();
+        if draw >= doubled + overtaken {
+            return (None, Some(message));
+        }
+        let arrives = now + random.random_range(0..=late);
+        let kept = (draw < doubled).then(|| message.clone());
+        self.strays.entry(direction).or_default().push((arrives, message));
+        (Some(arrives), kept)
     }
 
     /// Puts a message on its way; when it arrives.
@@ -145,6 +194,12 @@
     pub fn take(&mut self, now: Millis, direction: Direction) -> Arrivals {
         let mut arrivals = Arrivals::default();
         let cut = self.cuts.contains(&direction);
+        if let Some(strays) = self.strays.get_mut(&direction) {
+            let (due, later) = std::mem::take(strays).into_iter().partition(|(at, _)| *at <= now);
+            *strays = later;
+            let due: Vec<(Millis, Message)> = due;
+            arrivals.messages.extend(due.into_iter().filter(|_| !cut).map(|(_, message)| message));
+        }
         let Some(queue) = self.flights.get_mut(&direction) else { return arrivals };
         while let Some(flight) = queue.front_mut().filter(|flight| flight.arrives <= now) {
             if cut && now.saturating_sub(flight.sent) <= UNACKNOWLEDGED {
--- a/simulation/src/operator.rs
+++ b/simulation/src/operator.rs
@@ -8,7 +8,7 @@
 
 use crate::message::{Answer, Call, CallNumber, Message};
 use crate::site::{self, Models};
-use crate::witness::{ChangeSent, Outcome, ReadBack};
+use crate::witness::{ChangeSent, Outcome, ReadBack, Refusal};
 use crate::world::{Timer, World};
 
 /// Within which an answer must come before another coordinator is called.
@@ -32,6 +32,8 @@
     waits_for: Option<CallNumber>,
     /// Who is called, instead of anybody.
     only: Option<NodeId>,
+    /// Who is called with the first try.
+    first: Option<NodeId>,
 }
 
 /// A change that was sent, or is to be sent again.
@@ -112,12 +114,26 @@
     /// There is no such change.
     pub fn send_change(&mut self, world: &mut World, change: u64, only: Option<NodeId>) -> OperatorCallId {
         let call = self.changes[&change].call.clone();
-        self.begin(world, call, Some(change), only)
+        self.begin(world, call, Some(change), only, None)
+    }
+
+    /// Sends a change, for the first time or again; the first try goes to a certain coordinator.
+    ///
+    /// # Panics
+    /// There is no such change.
+    pub fn send_change_first_to(&mut self, world: &mut World, change: u64, first: NodeId) -> OperatorCallId {
+        let call = self.changes[&change].call.clone();
+        self.begin(world, call, Some(change), None, Some(first))
+    }
+
+    /// Reads the configuration; the first try goes to a certain coordinator.
+    pub fn read_first_at(&mut self, world: &mut World, first: NodeId) -> OperatorCallId {
+        self.begin(world, OperatorCall::Read, None, None, Some(first))
     }
 
     /// Reads the configuration.
     pub fn read(&mut self, world: &mut World, only: Option<NodeId>) -> OperatorCallId {
-        self.begin(world, OperatorCall::Read, None, only)
+        self.begin(world, OperatorCall::Read, None, only, None)
     }
 
     fn begin(
@@ -126,9 +142,10 @@
         call: OperatorCall,
         change: Option<u64>,
         only: Option<NodeId>,
+        first: Option<NodeId>,
     ) -> OperatorCallId {
         let id = world.number();
-        let pending = Pending { call, change, begun: world.now, tries: 0, waits_for: None, only };
+        let pending = Pending { call, change, begun: world.now, tries: 0, waits_for: None, only, first };
         self.pending.insert(id, pending);
         world.wake(site::operator(), world.now, Timer::OperatorAgain(id));
         id
@@ -169,7 +186,8 @@
         };
         let last = (coordinators.len() as u64).saturating_sub(1);
         let index = world.between(0..=last) as usize;
-        let Some(to) = pending.only.or_else(|| coordinators.get(index).copied()) else {
+        let first = pending.first.take();
+        let Some(to) = pending.only.or(first).or_else(|| coordinators.get(index).copied()) else {
             return world.wake(site::operator(), world.now + PATIENCE, Timer::OperatorAgain(id));
         };
         let number = world.number();
@@ -211,7 +229,7 @@
         }
         let Some(pending) = self.pending.remove(&id) else { return };
         match (pending.change, answer) {
-            (Some(change), answer) => self.change_answered(world, change, answer),
+            (Some(change), answer) => self.change_answered(world, change, pending.begun, answer),
             (None, OperatorAnswer::Done { body }) => {
                 let document: Value = serde_json::from_slice(&body).expect("what is read back is JSON");
                 if version_of(&document) > self.known_version() {
@@ -224,7 +242,7 @@
         }
     }
 
-    fn change_answered(&mut self, world: &mut World, change: u64, answer: OperatorAnswer) {
+    fn change_answered(&mut self, world: &mut World, change: u64, begun: Millis, answer: OperatorAnswer) {
         let outcome = match answer {
             OperatorAnswer::Done { .. } => Outcome::Acknowledged,
             OperatorAnswer::Conflict { current } => Outcome::Conflict { current },
@@ -236,6 +254,9 @@
                 self.known = document.clone();
             }
         }
+        if let Outcome::Conflict { current } = outcome {
+            world.witness.refused(Refusal { change, begun, at: world.now, current });
+        }
         world.witness.judged(world.now, change, outcome);
     }
 }
--- a/simulation/src/troubles.rs
+++ b/simulation/src/troubles.rs
@@ -3,6 +3,7 @@
 use shaletrail_protocol::{Millis, NodeId};
 use shaletrail_storage::memory::Faults;
 
+use crate::coordinator::CrashPoint;
 use crate::disk::MachineDisk;
 use crate::fleet::{Fleet, Machine, Process};
 use crate::site;
@@ -63,6 +64,15 @@
         Some(process)
     }
 
+    /// Has a coordinator's process end in the middle of its work.
+    pub fn crash_at(&mut self, node: NodeId, point: CrashPoint) {
+        if let Some(Machine { process: Some(Process::Coordinator(coordinator)), .. }) =
+            self.machines.get_mut(&node)
+        {
+            coordinator.crash_at(point);
+        }
+    }
+
     /// Kills a coordinator's or an edge's process and starts it again at once.
     pub fn restart(&mut self, node: NodeId) {
         self.kill(node);
@@ -104,9 +114,15 @@
 
     /// A coordinator joins, at a new address and with an empty disk. Its seeds are those that serve now.
     pub fn join_coordinator(&mut self, node: NodeId) {
+        let seeds = self.coordinators().into_iter().take(3).collect();
+        self.join_coordinator_by(node, seeds);
+    }
+
+    /// A coordinator joins, at a new address and with an empty disk, by seeds of its own.
+    pub fn join_coordinator_by(&mut self, node: NodeId, seeds: Vec<NodeId>) {
         self.add_coordinator(node);
         let mut serving = self.coordinators();
-        self.seeds.insert(node, serving.iter().copied().take(3).collect());
+        self.seeds.insert(node, seeds);
         serving.push(node);
         self.set_coordinators(serving);
         self.start(node);
@@ -157,6 +173,11 @@
         }
     }
 
+    /// The connections of a link are reset: what is on its way from one machine to the other is lost.
+    pub fn reset_link(&mut self, from: NodeId, to: NodeId) {
+        self.world.network.reset((from, to));
+    }
+
     /// Joins all links.
     pub fn join_all(&mut self) {
         for (from, to) in self.world.network.cuts() {
--- a/simulation/src/witness.rs
+++ b/simulation/src/witness.rs
@@ -159,6 +159,19 @@
     }
 }
 
+/// A change that was refused because another version is current.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// The change.
+    pub change: u64,
+    /// When it was first sent in this call.
+    pub begun: Millis,
+    /// When the answer came.
+    pub at: Millis,
+    /// The version that is said to be current.
+    pub current: u64,
+}
+
 /// A configuration that was read back.
 #[derive(Clone, Debug)]
 pub struct ReadBack {
@@ -195,6 +208,8 @@
     pub changes: BTreeMap<u64, ChangeSent>,
     /// Reads of the operator, in order.
     pub reads: Vec<ReadBack>,
+    /// Changes that were refused as built on another version, in order.
+    pub refusals: Vec<Refusal>,
     /// When each machine was last thawed, or a link of it joined.
     pub healed: BTreeMap<NodeId, Vec<Millis>>,
     /// What was done to the fleet, for messages of failed tests.
@@ -315,6 +330,11 @@
         }
     }
 
+    /// A change is refused as built on another version.
+    pub fn refused(&mut self, refusal: Refusal) {
+        self.refusals.push(refusal);
+    }
+
     /// A configuration is read back.
     pub fn read_back(&mut self, read: ReadBack) {
         self.reads.push(read);
--- a/simulation/src/world.rs
+++ b/simulation/src/world.rs
@@ -148,6 +148,11 @@
 
     /// Puts a message on its way.
     pub fn send(&mut self, from: NodeId, to: NodeId, message: Message) {
+        let (late, message) = self.network.stray(self.now, (from, to), message, &mut self.random);
+        if let Some(late) = late {
+            self.at(late, Happening::Arrival((from, to)));
+        }
+        let Some(message) = message else { return };
         let arrives = self.network.send(self.now, (from, to), message, &mut self.random);
         self.at(arrives, Happening::Arrival((from, to)));
     }
