--- a/coordinator/tests/alone.rs
+++ b/coordinator/tests/alone.rs
@@ -54,6 +54,28 @@
     assert_eq!(alone.answer(other), Some(&OperatorAnswer::Conflict { current: 3 }));
 }
 
+#[test]
+fn given_5000_changes_after_a_taken_one_when_that_comes_again_then_it_gets_no_clear_answer() {
+    // given
+    let mut alone = leading();
+    let first = alone.replace(0, &configuration(1, "a.example"));
+    assert!(is_done(alone.answer(first)));
+    for version in 2..=5000 {
+        alone.actions.clear();
+        let body = format!(r#"{{"version":{version}}}"#).into_bytes();
+        let call = alone.operate(OperatorCall::Change { whole: false, base: version - 1, body });
+        assert!(is_done(alone.answer(call)), "version {version}");
+    }
+
+    // when
+    let again = alone.replace(0, &configuration(1, "a.example"));
+    let other = alone.replace(4000, &configuration(5001, "b.example"));
+
+    // then
+    assert_eq!(alone.answer(again), Some(&OperatorAnswer::Unavailable));
+    assert_eq!(alone.answer(other), Some(&OperatorAnswer::Conflict { current: 5000 }));
+}
+
 #[test]
 fn given_no_leader_when_the_operator_calls_then_the_call_ends_without_a_clear_answer() {
     // given
