Aim histories at split votes, late votes and power lost around a vote

Two voters that don't hear each other stand in one term, while the one between loses power; and elections are split again and again while votes come late.

--- a/consensus/tests/aimed.rs
+++ b/consensus/tests/aimed.rs
@@ -176,9 +176,9 @@
 #[test]
 fn given_two_candidates_of_one_term_when_the_voter_between_loses_power_then_one_of_them_leads_at_most() {
     play_all(40_000, |seed| {
-        let mut group = Group::founded(3, seed);
+        let mut group = Group::founded_with(3, seed, |options| options.election_max_ms = 2000);
         group.keeps = |message| matches!(message, Message::Vote { .. });
-        for _ in 0..4 {
+        for _ in 0..5 {
             split_vote(&mut group);
         }
         group
@@ -188,35 +188,67 @@
 /// Two voters that don't hear each other stand in the same term; the one between loses power around its answer.
 fn split_vote(group: &mut Group) {
     let between = mend(group);
+    group.forget_kept();
     let candidates = others(group, between);
     group.partition(&[candidates[0]], &[candidates[1]]);
     group.freeze(between);
-    let seed = u64::from(group.random.random::<u32>());
     for candidate in &candidates {
         group.machine(*candidate).is_disk_stalled = true;
     }
-    group.run(700 + seed % 200);
+    // Both have asked for pre-votes when the voter between wakes, and have heard nothing else.
+    group.run(2100);
     group.thaw(between);
     let both_stand = |group: &Group| {
         let stands = |node: &NodeId| group.role(*node) == Role::Candidate;
         candidates.iter().all(stands) && group.term(candidates[0]) == group.term(candidates[1])
     };
-    if !group.run_until(1500, both_stand) {
+    if !group.run_until(1000, both_stand) {
         return;
     }
-    group.conditions = Conditions { sync_ms: 40, ..Conditions::CALM };
+    group.conditions = Conditions { sync_ms: 60, ..Conditions::CALM };
     for candidate in &candidates {
         group.machine(*candidate).is_disk_stalled = false;
     }
-    run_up_to(group, 60);
+    run_up_to(group, 40);
     group.crash(between);
     group.restart(between);
-    for _ in 0..30 {
-        group.run(30);
+    group.run(20);
+    // The one that was elected is not heard any more, and the other's request comes late.
+    for leader in leaders(group) {
+        group.isolate(leader);
+    }
+    group.run(580);
+    for _ in 0..60 {
+        group.run(10);
         group.replay_one();
     }
 }
 
+#[test]
+fn given_elections_that_are_split_again_and_again_when_votes_come_late_then_a_term_has_one_leader_at_most() {
+    play_all(45_000, |seed| {
+        let mut group = Group::founded(3, seed);
+        group.keeps = |message| matches!(message, Message::Vote { .. } | Message::VoteAnswer { .. });
+        let between = mend(&mut group);
+        let candidates = others(&group, between);
+        for _ in 0..6 {
+            group.partition(&[candidates[0]], &[candidates[1]]);
+            group.conditions = Conditions { lost: 300, doubled: 300, delay_ms: 200, sync_ms: 200 };
+            for _ in 0..40 {
+                group.run(50);
+                group.replay_one();
+                group.replay_one();
+                for leader in leaders(&group) {
+                    group.crash(leader);
+                    group.restart(leader);
+                }
+            }
+            mend(&mut group);
+        }
+        group
+    });
+}
+
 #[test]
 fn given_slow_disks_when_machines_lose_power_around_what_they_promise_then_nothing_acknowledged_is_lost() {
     play_all(50_000, |seed| {
--- a/consensus/tests/group/mod.rs
+++ b/consensus/tests/group/mod.rs
@@ -295,6 +295,11 @@
         }
     }
 
+    /// Forgets what was kept so far.
+    pub fn forget_kept(&mut self) {
+        self.kept.clear();
+    }
+
     /// Lets a message that was sent before come once more, whatever the cuts: it has been on its way for long.
     pub fn replay_one(&mut self) {
         if !self.kept.is_empty() {
