--- a/coordinator/src/core/shards.rs
+++ b/coordinator/src/core/shards.rs
@@ -65,6 +65,16 @@
     }
 }
 
+/// Whether a shard's machine can be restored from a record, where that is a snapshot. The founding's is empty.
+fn is_readable(shard: u32, record: &Record) -> bool {
+    match record {
+        Record::Snapshot(snapshot) => {
+            snapshot.state.is_empty() || Machine::new(shard).restore(&snapshot.state)
+        }
+        _ => true,
+    }
+}
+
 /// Something a shard has done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Done {
@@ -142,8 +152,8 @@
         for Stored { stream, bytes, .. } in stored {
             let Some(of_shard) = records.get_mut(stream as usize) else { continue };
             match Record::decode(&bytes) {
-                Ok(record) => of_shard.push(record),
-                Err(_) => unreadable[stream as usize] = true,
+                Ok(record) if is_readable(stream, &record) => of_shard.push(record),
+                _ => unreadable[stream as usize] = true,
             }
         }
         let mut shards = Vec::new();
--- a/coordinator/tests/alone.rs
+++ b/coordinator/tests/alone.rs
@@ -3,9 +3,11 @@
 mod common;
 
 use common::{configuration, Alone};
+use shaletrail_consensus::{Record, Snapshot};
 use shaletrail_coordinator::interface::{Action, Event, Note};
 use shaletrail_protocol::inside::{DirectoryCursor, OperatorAnswer, OperatorCall, PollRequest, Presence};
 use shaletrail_protocol::outside::ServerState;
+use shaletrail_storage::Stored;
 
 /// Long enough for an election among those that are there.
 const ELECTION: u64 = 2_000;
@@ -227,7 +229,7 @@
         _ => None,
     });
     let stored = live.expect("a checkpoint").into_iter();
-    let stored = stored.map(|(stream, bytes)| shaletrail_storage::Stored { stream, bytes }).collect();
+    let stored = stored.map(|(stream, bytes)| Stored { stream, bytes }).collect();
     let mut again = Alone::restarted(stored);
     again.run(ELECTION);
     assert_eq!(again.core.configuration_version(), 5);
@@ -236,7 +238,7 @@
 #[test]
 fn given_records_that_cannot_be_read_when_a_coordinator_starts_then_it_says_so_and_counts_as_forgetful() {
     // given
-    let stored = vec![shaletrail_storage::Stored { stream: 0, bytes: vec![255; 9] }];
+    let stored = vec![Stored { stream: 0, bytes: vec![255; 9] }];
 
     // when
     let mut alone = Alone::restarted(stored);
@@ -250,3 +252,36 @@
         alone.actions.iter().any(|action| matches!(action, Action::Note(Note::Leading { shard: 0, .. })));
     assert!(!leads, "{:?}", alone.actions);
 }
+
+#[test]
+fn given_a_snapshot_whose_state_cannot_be_read_when_a_coordinator_starts_then_it_does_not_lead_with_an_empty_one(
+) {
+    // given: a coordinator's checkpoint, in which the configuration's state is of another form
+    let mut alone = leading();
+    alone.replace(0, &configuration(5, "a.example"));
+    alone.tell(Event::Stored { ticket: 0, wants_checkpoint: true });
+    let live = alone.actions.iter().find_map(|action| match action {
+        Action::Checkpoint { live } => Some(live.clone()),
+        _ => None,
+    });
+    let other_form = |(stream, bytes): (u32, Vec<u8>)| match (stream, Record::decode(&bytes)) {
+        (0, Ok(Record::Snapshot(snapshot))) => {
+            let state = [255; 9].as_slice().into();
+            Stored { stream, bytes: Record::Snapshot(Snapshot { state, ..snapshot }).encode() }
+        }
+        _ => Stored { stream, bytes },
+    };
+    let stored = live.expect("a checkpoint").into_iter().map(other_form).collect();
+
+    // when
+    let mut again = Alone::restarted(stored);
+    again.run(ELECTION);
+
+    // then
+    let notes = |wanted: fn(&Note) -> bool| {
+        again.actions.iter().any(|action| matches!(action, Action::Note(note) if wanted(note)))
+    };
+    assert!(notes(|note| matches!(note, Note::Unreadable { shard: 0 })));
+    assert!(!notes(|note| matches!(note, Note::Leading { shard: 0, .. })));
+    assert!(notes(|note| matches!(note, Note::Leading { shard: 1, .. })));
+}
