--- a/consensus/tests/aimed.rs
+++ b/consensus/tests/aimed.rs
@@ -425,3 +425,51 @@
     assert_eq!(group.machines[&member].commands, Vec::<u64>::new(), "what is not known to be committed");
     group.settle();
 }
+
+#[test]
+fn given_a_voter_that_starts_again_after_it_followed_a_newer_leader_when_the_former_returns_then_it_rejects_it(
+) {
+    let mut played = 0;
+    for seed in 0..20 {
+        // given: a leader that is cut off with one voter, and a newer one that three others have elected
+        let mut group = Group::founded_with(5, seed, |options| options.election_max_ms = 4000);
+        let former = mend(&mut group);
+        let others = others(&group, former);
+        let voter = others[0];
+        group.isolate(former);
+        group.isolate(voter);
+        group.run_until(3500, |group| leaders(group).iter().any(|leader| *leader != former));
+        let Some(newer) = leaders(&group).into_iter().find(|leader| *leader != former) else { continue };
+        // The voter follows the newer one, and is needed for its commit.
+        group.cuts.retain(|(from, to)| ![*from, *to].contains(&voter) || ![*from, *to].contains(&newer));
+        let idle = others[1..].iter().copied().find(|node| *node != newer).expect("another");
+        group.isolate(idle);
+        let (_, index) = group.propose(newer).expect("it leads");
+        group.run(800);
+        if !group.judge.is_acknowledged(index) || !group.replica(former).is_leader() {
+            continue;
+        }
+        played += 1;
+        // when: it starts again and hears the former leader only, and then the newer one and its follower are lost
+        group.crash(voter);
+        group.restart(voter);
+        group.cuts.clear();
+        let rest: Vec<NodeId> = others[1..].to_vec();
+        group.partition(&[former, voter], &rest);
+        group.isolate(idle);
+        for _ in 0..3 {
+            group.propose(former);
+        }
+        group.run(700);
+        group.cuts.clear();
+        others[1..].iter().filter(|node| **node != idle).for_each(|node| group.crash(*node));
+        group.run(12_000);
+        // then: what was acknowledged is still there
+        group.heal();
+        group.run(8000);
+        group.commit_one();
+        group.settle();
+        group.machines.values().for_each(|machine| group.judge.has_all_acknowledged(machine));
+    }
+    assert!(played >= 5, "{played} of the seeds come to the point");
+}
