--- a/consensus/tests/aimed.rs
+++ b/consensus/tests/aimed.rs
@@ -176,9 +176,9 @@
 #[test]
 fn given_two_candidates_of_one_term_when_the_voter_between_loses_power_then_one_of_them_leads_at_most() {
     play_all(40_000, |seed| {
-        let mut group = Group::founded(3, seed);
+        let mut group = Group::founded_with(3, seed, |options| options.election_max_ms = 2000);
         group.keeps = |message| matches!(message, Message::Vote { .. });
-        for _ in 0..4 {
+        for _ in 0..5 {
             split_vote(&mut group);
         }
         group
@@ -188,35 +188,67 @@
 /// Two voters that don't hear each other stand in the same term; the one between loses power around its answer.
 fn split_vote(group: &mut Group) {
     let between = mend(group);
+    group.forget_kept();
     let candidates = others(group, between);
     group.partition(&[candidates[0]], &[candidates[1]]);
     group.freeze(between);
-    let seed = u64::from(group.random.random::<u32>());
     for candidate in &candidates {
         group.machine(*candidate).is_disk_stalled = true;
     }
-    group.run(700 + seed % 200);
+    // Both have asked for pre-votes when the voter between wakes, and have heard nothing else.
+    group.run(2100);
     group.thaw(between);
     let both_stand = |group: &Group| {
         let stands = |node: &NodeId| group.role(*node) == Role::Candidate;
         candidates.iter().all(stands) && group.term(candidates[0]) == group.term(candidates[1])
     };
-    if !group.run_until(1500, both_stand) {
+    if !group.run_until(1000, both_stand) {
         return;
     }
-    group.conditions = Conditions { sync_ms: 40, ..Conditions::CALM };
+    group.conditions = Conditions { sync_ms: 60, ..Conditions::CALM };
     for candidate in &candidates {
         group.machine(*candidate).is_disk_stalled = false;
     }
-    run_up_to(group, 60);
+    run_up_to(group, 40);
     group.crash(between);
     group.restart(between);
-    for _ in 0..30 {
-        group.run(30);
+    group.run(20);
+    // The one that was elected is not heard any more, and the other's request comes late.
+    for leader in leaders(group) {
+        group.isolate(leader);
+    }
+    group.run(580);
+    for _ in 0..60 {
+        group.run(10);
         group.replay_one();
     }
 }
 
+#[test]
+fn given_elections_that_are_split_again_and_again_when_votes_come_late_then_a_term_has_one_leader_at_most() {
+    play_all(45_000, |seed| {
+        let mut group = Group::founded(3, seed);
+        group.keeps = |message| matches!(message, Message::Vote { .. } | Message::VoteAnswer { .. });
+        let between = mend(&mut group);
+        let candidates = others(&group, between);
+        for _ in 0..6 {
+            group.partition(&[candidates[0]], &[candidates[1]]);
+            group.conditions = Conditions { lost: 300, doubled: 300, delay_ms: 200, sync_ms: 200 };
+            for _ in 0..40 {
+                group.run(50);
+                group.replay_one();
+                group.replay_one();
+                for leader in leaders(&group) {
+                    group.crash(leader);
+                    group.restart(leader);
+                }
+            }
+            mend(&mut group);
+        }
+        group
+    });
+}
+
 #[test]
 fn given_slow_disks_when_machines_lose_power_around_what_they_promise_then_nothing_acknowledged_is_lost() {
     play_all(50_000, |seed| {
@@ -393,3 +425,51 @@
     assert_eq!(group.machines[&member].commands, Vec::<u64>::new(), "what is not known to be committed");
     group.settle();
 }
+
+#[test]
+fn given_a_voter_that_starts_again_after_it_followed_a_newer_leader_when_the_former_returns_then_it_rejects_it(
+) {
+    let mut played = 0;
+    for seed in 0..20 {
+        // given: a leader that is cut off with one voter, and a newer one that three others have elected
+        let mut group = Group::founded_with(5, seed, |options| options.election_max_ms = 4000);
+        let former = mend(&mut group);
+        let others = others(&group, former);
+        let voter = others[0];
+        group.isolate(former);
+        group.isolate(voter);
+        group.run_until(3500, |group| leaders(group).iter().any(|leader| *leader != former));
+        let Some(newer) = leaders(&group).into_iter().find(|leader| *leader != former) else { continue };
+        // The voter follows the newer one, and is needed for its commit.
+        group.cuts.retain(|(from, to)| ![*from, *to].contains(&voter) || ![*from, *to].contains(&newer));
+        let idle = others[1..].iter().copied().find(|node| *node != newer).expect("another");
+        group.isolate(idle);
+        let (_, index) = group.propose(newer).expect("it leads");
+        group.run(800);
+        if !group.judge.is_acknowledged(index) || !group.replica(former).is_leader() {
+            continue;
+        }
+        played += 1;
+        // when: it starts again and hears the former leader only, and then the newer one and its follower are lost
+        group.crash(voter);
+        group.restart(voter);
+        group.cuts.clear();
+        let rest: Vec<NodeId> = others[1..].to_vec();
+        group.partition(&[former, voter], &rest);
+        group.isolate(idle);
+        for _ in 0..3 {
+            group.propose(former);
+        }
+        group.run(700);
+        group.cuts.clear();
+        others[1..].iter().filter(|node| **node != idle).for_each(|node| group.crash(*node));
+        group.run(12_000);
+        // then: what was acknowledged is still there
+        group.heal();
+        group.run(8000);
+        group.commit_one();
+        group.settle();
+        group.machines.values().for_each(|machine| group.judge.has_all_acknowledged(machine));
+    }
+    assert!(played >= 5, "{played} of the seeds come to the point");
+}
--- a/coordinator/tests/alone.rs
+++ b/coordinator/tests/alone.rs
@@ -3,9 +3,11 @@
 mod common;
 
 use common::{configuration, Alone};
+use shaletrail_consensus::{Record, Snapshot};
 use shaletrail_coordinator::interface::{Action, Event, Note};
 use shaletrail_protocol::inside::{DirectoryCursor, OperatorAnswer, OperatorCall, PollRequest, Presence};
 use shaletrail_protocol::outside::ServerState;
+use shaletrail_storage::Stored;
 
 /// Long enough for an election among those that are there.
 const ELECTION: u64 = 2_000;
@@ -54,6 +56,28 @@
     assert_eq!(alone.answer(other), Some(&OperatorAnswer::Conflict { current: 3 }));
 }
 
+#[test]
+fn given_5000_changes_after_a_taken_one_when_that_comes_again_then_it_gets_no_clear_answer() {
+    // given
+    let mut alone = leading();
+    let first = alone.replace(0, &configuration(1, "a.example"));
+    assert!(is_done(alone.answer(first)));
+    for version in 2..=5000 {
+        alone.actions.clear();
+        let body = format!(r#"{{"version":{version}}}"#).into_bytes();
+        let call = alone.operate(OperatorCall::Change { whole: false, base: version - 1, body });
+        assert!(is_done(alone.answer(call)), "version {version}");
+    }
+
+    // when
+    let again = alone.replace(0, &configuration(1, "a.example"));
+    let other = alone.replace(4000, &configuration(5001, "b.example"));
+
+    // then
+    assert_eq!(alone.answer(again), Some(&OperatorAnswer::Unavailable));
+    assert_eq!(alone.answer(other), Some(&OperatorAnswer::Conflict { current: 5000 }));
+}
+
 #[test]
 fn given_no_leader_when_the_operator_calls_then_the_call_ends_without_a_clear_answer() {
     // given
@@ -205,7 +229,7 @@
         _ => None,
     });
     let stored = live.expect("a checkpoint").into_iter();
-    let stored = stored.map(|(stream, bytes)| shaletrail_storage::Stored { stream, bytes }).collect();
+    let stored = stored.map(|(stream, bytes)| Stored { stream, bytes }).collect();
     let mut again = Alone::restarted(stored);
     again.run(ELECTION);
     assert_eq!(again.core.configuration_version(), 5);
@@ -214,7 +238,7 @@
 #[test]
 fn given_records_that_cannot_be_read_when_a_coordinator_starts_then_it_says_so_and_counts_as_forgetful() {
     // given
-    let stored = vec![shaletrail_storage::Stored { stream: 0, bytes: vec![255; 9] }];
+    let stored = vec![Stored { stream: 0, bytes: vec![255; 9] }];
 
     // when
     let mut alone = Alone::restarted(stored);
@@ -228,3 +252,36 @@
         alone.actions.iter().any(|action| matches!(action, Action::Note(Note::Leading { shard: 0, .. })));
     assert!(!leads, "{:?}", alone.actions);
 }
+
+#[test]
+fn given_a_snapshot_whose_state_cannot_be_read_when_a_coordinator_starts_then_it_does_not_lead_with_an_empty_one(
+) {
+    // given: a coordinator's checkpoint, in which the configuration's state is of another form
+    let mut alone = leading();
+    alone.replace(0, &configuration(5, "a.example"));
+    alone.tell(Event::Stored { ticket: 0, wants_checkpoint: true });
+    let live = alone.actions.iter().find_map(|action| match action {
+        Action::Checkpoint { live } => Some(live.clone()),
+        _ => None,
+    });
+    let other_form = |(stream, bytes): (u32, Vec<u8>)| match (stream, Record::decode(&bytes)) {
+        (0, Ok(Record::Snapshot(snapshot))) => {
+            let state = [255; 9].as_slice().into();
+            Stored { stream, bytes: Record::Snapshot(Snapshot { state, ..snapshot }).encode() }
+        }
+        _ => Stored { stream, bytes },
+    };
+    let stored = live.expect("a checkpoint").into_iter().map(other_form).collect();
+
+    // when
+    let mut again = Alone::restarted(stored);
+    again.run(ELECTION);
+
+    // then
+    let notes = |wanted: fn(&Note) -> bool| {
+        again.actions.iter().any(|action| matches!(action, Action::Note(note) if wanted(note)))
+    };
+    assert!(notes(|note| matches!(note, Note::Unreadable { shard: 0 })));
+    assert!(!notes(|note| matches!(note, Note::Leading { shard: 0, .. })));
+    assert!(notes(|note| matches!(note, Note::Leading { shard: 1, .. })));
+}
