Let a member that is heard not be absent by hearsay; lose machines right after repairs in tests

Cause: one that comes back from a cut tells that all others are absent, and a leader took that over though it heard them: it exchanged a voter that was there for the one that had just come back.

Change: what is told of a member that this node hears makes it suspected at most, until it refutes that. Tests: several coordinators in memory, where machines are replaced or lose their disks and as many again are lost in the moment in which that is made good; disks lost in the joint phase.

--- a/cluster/src/membership.rs
+++ b/cluster/src/membership.rs
@@ -325,7 +325,12 @@
         }
     }
 
+    /// Takes what somebody tells of another. One that has been cut off takes all others to be absent: a member that this
+    /// node hears itself is suspected at most, until it refutes that.
     fn learn_told(&mut self, now: Millis, record: &MemberRecord) {
+        let is_heard = self.heard_within(record.node, now, self.options.suspect_ms);
+        let state = if is_heard { record.state.min(MemberState::Suspect) } else { record.state };
+        let record = &MemberRecord { state, ..record.clone() };
         let suspected = self.table.state(record.node) == Some(MemberState::Suspect);
         if self.table.learn_told(now, record) {
             self.targets_stale = true;
--- a/cluster/tests/membership.rs
+++ b/cluster/tests/membership.rs
@@ -330,3 +330,74 @@
     }
     assert_eq!(membership.state(PEER), Some(MemberState::Suspect));
 }
+
+/// This node with a member that it pings and that has just answered.
+fn with_one_that_is_heard() -> Membership {
+    let mut membership = alone(&[]);
+    membership.watch(&[PEER]);
+    membership.receive(0, PEER, ping(vec![member(PEER, 22, 0, MemberState::Alive)]));
+    membership.tick(0);
+    answer_all(&mut membership, 5);
+    membership
+}
+
+#[test]
+fn given_a_member_that_this_node_hears_when_one_that_was_cut_off_tells_of_its_absence_then_it_is_suspected() {
+    let mut membership = with_one_that_is_heard();
+    let told = vec![member(NodeId(3), 33, 0, MemberState::Alive), member(PEER, 22, 0, MemberState::Absent)];
+    membership.receive(10, NodeId(3), ping(told));
+    assert_eq!(membership.state(PEER), Some(MemberState::Suspect));
+    assert!(!membership.is_away(PEER));
+    let refuted = vec![member(PEER, 22, 1, MemberState::Alive)];
+    membership.receive(20, PEER, ping(refuted));
+    assert_eq!(membership.state(PEER), Some(MemberState::Alive));
+}
+
+#[test]
+fn given_a_voter_of_which_nobody_tells_when_it_has_been_silent_for_long_enough_then_it_is_away() {
+    let mut membership = alone(&[]);
+    membership.watch(&[PEER]);
+    run_idle(&mut membership, 0, 1_400);
+    assert!(!membership.is_away(PEER));
+    run_idle(&mut membership, 1_400, 1_800);
+    assert!(membership.is_away(PEER));
+    assert!(!membership.is_away(NodeId(3)), "nobody knows whether it was ever there");
+    membership.receive(1_900, PEER, ping(vec![member(PEER, 22, 0, MemberState::Alive)]));
+    assert!(!membership.is_away(PEER));
+}
+
+#[test]
+fn given_a_voter_of_which_nobody_tells_when_this_node_stood_still_then_it_is_not_away_at_once() {
+    let mut membership = alone(&[]);
+    membership.watch(&[PEER]);
+    run_idle(&mut membership, 0, 400);
+    membership.tick(5_000);
+    assert!(!membership.is_away(PEER));
+}
+
+#[test]
+fn given_a_voter_that_was_absent_for_so_long_that_it_is_forgotten_when_asked_then_it_is_still_away() {
+    let mut membership = with_one_that_is_heard();
+    run_idle(&mut membership, 10, 70_000);
+    assert_eq!(membership.state(PEER), None);
+    assert!(membership.is_away(PEER));
+}
+
+#[test]
+fn given_a_member_that_is_about_to_end_when_it_says_so_then_it_is_absent_for_all_at_once() {
+    let mut fleet = Fleet::running(3, 3);
+    let leaving = fleet.machines[1].node;
+    let now = fleet.now;
+    fleet.process(1).membership.leave(now);
+    fleet.run(100);
+    for (node, process) in fleet.processes().filter(|(node, _)| *node != leaving) {
+        assert!(process.membership.is_away(leaving), "as {node} sees it");
+    }
+    // It does not take it back, though others tell it.
+    fleet.run(3_000);
+    assert!(fleet.processes().all(|(node, process)| node == leaving || process.membership.is_away(leaving)));
+    fleet.stop(1);
+    fleet.start(1);
+    fleet.run(1_500);
+    assert_all_alive(&fleet);
+}
--- a/coordinator/tests/fleet/mod.rs
+++ b/coordinator/tests/fleet/mod.rs
@@ -193,6 +193,12 @@
         self.machine(node).synced.clear();
     }
 
+    /// What the disk holds of a shard cannot be read.
+    pub fn garble(&mut self, node: NodeId, shard: u32) {
+        let records = self.machine(node).synced.iter_mut().filter(|record| record.stream == shard);
+        records.for_each(|record| record.bytes = vec![255; 3]);
+    }
+
     /// The process is told to end; it goes on until [`FAREWELL`] is over.
     pub fn tell_to_end(&mut self, node: NodeId) {
         self.tell(node, Event::Stopping);
--- a/coordinator/tests/voters.rs
+++ b/coordinator/tests/voters.rs
@@ -5,12 +5,16 @@
 
 use common::node;
 use fleet::{Fleet, FAREWELL};
+use shaletrail_consensus::Message;
 use shaletrail_coordinator::core::shards::CONFIGURATION;
+use shaletrail_protocol::inside::CoreMessage;
 use shaletrail_protocol::{Millis, NodeId};
 
 /// How long a machine that is back, or new, counts as lost (`syncS`), in the deployments with one and with two losses.
 const SYNC: [Millis; 2] = [4_000, 6_000];
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
+/// Longer than it takes until a lost machine is absent for the others.
+const NOTICED: Millis = 3_000;
 /// Longer than a member that is absent is remembered.
 const FORGOTTEN: Millis = 70_000;
 
@@ -252,3 +256,252 @@
         assert!(fleet.has_voters_in(CONFIGURATION, &voters), "{}", fleet.describe());
     }
 }
+
+#[test]
+fn given_a_newcomer_with_a_slow_disk_when_one_more_is_lost_in_the_moment_it_comes_in_then_nothing_is_lost() {
+    for hosts_lost in [1, 2] {
+        for seed in SEEDS {
+            // given: the loss has been noticed before anybody joins
+            let mut fleet = Fleet::founded(hosts_lost, seed);
+            let first = fleet.running();
+            let removed = rest(&mut fleet, &first, &[])[..hosts_lost].to_vec();
+            let staying = rest(&mut fleet, &first, &removed);
+            removed.iter().for_each(|node| fleet.wipe(*node));
+            fleet.run(NOTICED);
+            fleet.change();
+
+            // when
+            let newcomers: Vec<NodeId> = (0..hosts_lost as u8).map(|number| node(20 + number)).collect();
+            for newcomer in &newcomers {
+                fleet.add(*newcomer, &first);
+                fleet.machine(*newcomer).sync_ms = 600;
+                fleet.start(*newcomer);
+            }
+            fleet.await_voters(&[&staying[..], &newcomers].concat());
+            staying[..hosts_lost].iter().for_each(|node| fleet.wipe(*node));
+
+            // then
+            fleet.assert_in_service();
+        }
+    }
+}
+
+/// Whether a message brings entries or the state of the configuration's shard.
+fn brings_configuration(message: &CoreMessage) -> bool {
+    let CoreMessage::Shard { shard: CONFIGURATION, body } = message else { return false };
+    matches!(bitcode::decode(body), Ok(Message::Append { .. } | Message::Install { .. }))
+}
+
+#[test]
+fn given_a_newcomer_that_gets_no_entries_when_a_voter_is_lost_then_it_comes_in_once_it_has_them() {
+    for seed in SEEDS {
+        // given: a newcomer that was brought up to date once
+        let mut fleet = Fleet::founded(1, seed);
+        let first = fleet.running();
+        fleet.join(node(20), &first);
+        fleet.run(SYNC[0]);
+        fleet.filter = Some(Box::new(|_, to, message| to != node(20) || !brings_configuration(message)));
+        (0..40).for_each(|_| fleet.change());
+
+        // when
+        let removed = rest(&mut fleet, &first, &[])[0];
+        fleet.wipe(removed);
+        fleet.run(SYNC[0]);
+        (0..40).for_each(|_| fleet.change());
+
+        // then
+        let leader = fleet.leader_of(CONFIGURATION).expect("a leader");
+        assert!(!fleet.replica(leader, CONFIGURATION).voters().contains(node(20)), "{}", fleet.describe());
+        fleet.filter = None;
+        let staying = rest(&mut fleet, &first, &[removed]);
+        fleet.await_voters(&[&staying[..], &[node(20)]].concat());
+        fleet.wipe(staying[0]);
+        fleet.assert_in_service();
+    }
+}
+
+#[test]
+fn given_a_newcomer_that_is_silent_when_a_voter_is_lost_then_it_does_not_come_in() {
+    for seed in SEEDS {
+        // given: a newcomer that was brought up to date, and has just lost power
+        let mut fleet = Fleet::founded(1, seed);
+        let first = fleet.running();
+        fleet.join(node(20), &first);
+        fleet.run(SYNC[0]);
+        fleet.lose_power(node(20));
+        fleet.run(1_000);
+
+        // when
+        let leaving = rest(&mut fleet, &first, &[])[0];
+        fleet.tell_to_end(leaving);
+        fleet.run(FAREWELL);
+        fleet.lose_power(leaving);
+
+        // then
+        let is_voter = |fleet: &Fleet, shard: u32| {
+            fleet
+                .leader_of(shard)
+                .is_some_and(|leader| fleet.replica(leader, shard).voters().contains(node(20)))
+        };
+        let came_in = fleet.run_until(3_000, |fleet| fleet.shards().any(|shard| is_voter(fleet, shard)));
+        assert!(!came_in, "{}", fleet.describe());
+    }
+}
+
+/// A change that one voter has not heard is acknowledged. All lose power, and the other follower comes back changed by
+/// `harm`, with the one that is behind; the former leader comes later.
+fn lose_power_around(seed: u64, harm: impl Fn(&mut Fleet, NodeId)) {
+    // given
+    let mut fleet = Fleet::founded(1, seed);
+    let leader = fleet.leader_of(CONFIGURATION).expect("a leader");
+    let voters = fleet.running();
+    let followers = rest(&mut fleet, &voters, &[leader]);
+    let (late, harmed) = (followers[0], followers[1]);
+    fleet.isolate(late);
+    fleet.change();
+
+    // when
+    voters.iter().for_each(|node| fleet.lose_power(*node));
+    harm(&mut fleet, harmed);
+    fleet.cuts.clear();
+    fleet.start(late);
+    fleet.start(harmed);
+    fleet.run(3_000);
+
+    // then
+    assert!(fleet.is_forgetful_on_disk(harmed), "{}", fleet.describe());
+    assert_eq!(fleet.leader_of(CONFIGURATION), None, "seed {seed}");
+    fleet.start(leader);
+    fleet.assert_in_service();
+}
+
+#[test]
+fn given_a_change_on_two_disks_when_one_of_them_is_lost_and_all_lose_power_then_nothing_is_lost() {
+    SEEDS.for_each(|seed| lose_power_around(seed, |fleet, harmed| fleet.wipe(harmed)));
+}
+
+#[test]
+fn given_a_change_on_two_disks_when_one_cannot_be_read_and_all_lose_power_then_nothing_is_lost() {
+    SEEDS.for_each(|seed| lose_power_around(seed, |fleet, harmed| fleet.garble(harmed, CONFIGURATION)));
+}
+
+#[test]
+fn given_a_change_on_a_leaving_disk_and_one_more_when_that_one_is_lost_after_it_then_nothing_is_lost() {
+    for seed in SEEDS {
+        // given: a third voter that gets everything late
+        let mut fleet = Fleet::founded(1, seed);
+        let first = fleet.running();
+        fleet.join(node(20), &first);
+        fleet.run(SYNC[0]);
+        let order = rest(&mut fleet, &first, &[]);
+        let (leaving, lost, late) = (order[0], order[1], order[2]);
+        fleet.machine(late).sync_ms = 250;
+        fleet.change();
+
+        // when
+        fleet.tell_to_end(leaving);
+        fleet.run(FAREWELL);
+        fleet.wipe(leaving);
+        fleet.await_voters(&[lost, late, node(20)]);
+        fleet.wipe(lost);
+
+        // then
+        fleet.assert_in_service();
+    }
+}
+
+#[test]
+fn given_a_voter_cut_off_when_it_was_replaced_meanwhile_then_it_disturbs_nobody_and_one_more_may_be_lost() {
+    for seed in SEEDS {
+        // given
+        let mut fleet = Fleet::founded(1, seed);
+        let first = fleet.running();
+        let away = rest(&mut fleet, &first, &[])[0];
+        fleet.join(node(20), &first);
+        fleet.isolate(away);
+        fleet.run(20_000);
+        let voters = [&rest(&mut fleet, &first, &[away])[..], &[node(20)]].concat();
+        fleet.await_voters(&voters);
+        let terms: Vec<u64> = fleet.shards().map(|shard| fleet.replica(voters[0], shard).term()).collect();
+
+        // when
+        fleet.cuts.clear();
+        fleet.run(SYNC[0]);
+
+        // then
+        let after: Vec<u64> = fleet.shards().map(|shard| fleet.replica(voters[0], shard).term()).collect();
+        assert_eq!(after, terms);
+        assert!(fleet.has_voters(&voters), "{}", fleet.describe());
+        fleet.wipe(voters[0]);
+        fleet.assert_in_service();
+    }
+}
+
+#[test]
+fn given_seeds_that_name_only_one_that_is_cut_off_when_it_is_back_then_the_newcomer_is_found() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::founded(1, seed);
+        let first = fleet.running();
+        let away = rest(&mut fleet, &first, &[])[0];
+        fleet.join(node(20), &[away]);
+        fleet.isolate(away);
+        fleet.run(5_000);
+        fleet.cuts.clear();
+        fleet.run(SYNC[0]);
+        let removed = rest(&mut fleet, &first, &[away])[0];
+        fleet.wipe(removed);
+        let staying = rest(&mut fleet, &first, &[removed]);
+        fleet.await_voters(&[&staying[..], &[node(20)]].concat());
+        fleet.assert_in_service();
+    }
+}
+
+/// Machines are removed and replaced or lose their disks, one round after the other; in each round the losses begin in
+/// the moment in which the last ones are made good.
+fn play(hosts_lost: usize, seed: u64) {
+    let mut fleet = Fleet::founded(hosts_lost, seed);
+    let mut voters = fleet.running();
+    let mut next_machine = 20;
+    for _ in 0..8 {
+        let struck = rest(&mut fleet, &voters, &[])[..hosts_lost].to_vec();
+        for lost in &struck {
+            fleet.wipe(*lost);
+            if fleet.below(2) == 0 {
+                fleet.start(*lost);
+                continue;
+            }
+            voters.retain(|voter| voter != lost);
+            let pause = fleet.below(2_500);
+            fleet.run(pause);
+            let newcomer = node(next_machine);
+            next_machine += 1;
+            let seeds = fleet.running();
+            fleet.add(newcomer, &seeds);
+            fleet.machine(newcomer).sync_ms = 3 + fleet.below(100);
+            fleet.start(newcomer);
+            voters.push(newcomer);
+        }
+        if fleet.below(2) == 0 {
+            fleet.assert_in_service();
+        }
+        fleet.await_voters(&voters);
+        let is_remembered = |fleet: &Fleet| voters.iter().all(|voter| !fleet.is_forgetful_on_disk(*voter));
+        assert!(fleet.run_until(6_000, is_remembered), "seed {seed}: {}", fleet.describe());
+    }
+    fleet.assert_in_service();
+}
+
+#[test]
+fn given_losses_in_a_row_when_each_begins_as_the_last_is_made_good_then_nothing_is_lost() {
+    for hosts_lost in [1, 2] {
+        for seed in 1..=histories() {
+            println!("{hosts_lost} lost at once, seed {seed}");
+            play(hosts_lost, seed);
+        }
+    }
+}
+
+/// Histories of each kind: `SHALETRAIL_SEEDS`, or a few.
+fn histories() -> u64 {
+    std::env::var("SHALETRAIL_SEEDS").ok().and_then(|value| value.parse().ok()).unwrap_or(8)
+}
