Test silence, rejections and failures that break off, and unreadiness by the router's word alone

Cause: these verdicts were caught by no test of the driver. Ruled out: a second source of unreadiness, as the router is told of the stop at once. Change: tests; State::is_ready asks the router only.

--- a/dataplane/src/state.rs
+++ b/dataplane/src/state.rs
@@ -141,7 +141,7 @@
 
     /// Whether the process should get new connections.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.router.borrow().is_usable(self.clock.now())
+        self.router.borrow().is_usable(self.clock.now())
     }
 
     /// Whether the process has been told to end.
--- a/dataplane/tests/answers.rs
+++ b/dataplane/tests/answers.rs
@@ -199,7 +199,13 @@
         let (mut upstream, request) = server.accept_request().await;
 
         // when
-        upstream.head(&request, 101, "server-stamp: st\r\nupgrade: other\r\nconnection: upgrade\r\n").await;
+        upstream
+            .head(
+                &request,
+                101,
+                "server-stamp: st\r\nupgrade: other\r\nconnection: upgrade\r\ncontent-length: 0\r\n",
+            )
+            .await;
         let answer = client.read_answer().await;
 
         // then
@@ -353,3 +359,62 @@
         assert_eq!((second_answer.header("attempt-id"), second_answer.body.as_str()), (Some("t2"), "two"));
     });
 }
+
+#[test]
+fn given_a_server_given_up_for_its_silence_when_the_other_rejects_the_request_then_there_is_no_promise() {
+    run(async {
+        // given
+        let (one, two) = (Server::start("i-1").await, Server::start("i-2").await);
+        let route =
+            route("r", "/x/", "idempotent").replace(r#""targetLatencyMs":4000"#, r#""targetLatencyMs":100"#);
+        let edge = Edge::with(&configuration(&[route]), &[&one, &two]).await;
+        let mut client = edge.connect().await;
+        client.request("/x/", "t1", "").await;
+        let (mut silent, _, _, other) = first_asked(&one, &two).await;
+
+        // when
+        let (mut upstream, request) = other.accept_request().await;
+        silent.closed().await;
+        upstream.head(&request, 503, "not-executed: 1\r\ncontent-length: 0\r\n").await;
+        let answer = client.read_answer().await;
+
+        // then
+        assert_eq!((answer.status(), answer.header("retry-after")), (502, None));
+    });
+}
+
+#[test]
+fn given_answers_that_break_off_when_they_are_failures_or_rejections_then_only_the_rejection_counts() {
+    run(async {
+        let cases = [(500, "server-stamp: st\r\n", 502), (503, "not-executed: 1\r\n", 503)];
+        for (status, headers, expected) in cases {
+            // given
+            let server = Server::start("i-1").await;
+            let routes =
+                [route("r", "/x/", "non_idempotent").replace(r#""maxAttempts":2"#, r#""maxAttempts":1"#)];
+            let edge = Edge::with(&configuration(&routes), &[&server]).await;
+            let mut client = edge.connect().await;
+            client.request("/x/", "t1", "").await;
+            let (mut upstream, request) = server.accept_request().await;
+
+            // when
+            upstream.head(&request, status, &format!("{headers}content-length: 9\r\n")).await;
+            upstream.write("cut").await;
+            drop(upstream);
+            let answer = loop {
+                // It has surely not run where it was rejected, and may be sent again.
+                tokio::select! {
+                    answer = client.read_answer() => break answer,
+                    (mut upstream, request) = server.accept_request() => {
+                        assert_eq!(status, 503, "sent a second time");
+                        upstream.head(&request, status, &format!("{headers}content-length: 0\r\n")).await;
+                    }
+                }
+            };
+
+            // then
+            assert_eq!((answer.status(), answer.body.as_str()), (expected, ""));
+            assert_eq!(answer.header("server-stamp"), None);
+        }
+    });
+}
--- a/dataplane/tests/stopping.rs
+++ b/dataplane/tests/stopping.rs
@@ -22,12 +22,13 @@
         late.request("/x/", "t2", "").await;
         let (mut late_upstream, late_request) = server.accept_request().await;
         let readiness = edge.readiness_status().await;
+        let asked_again = edge.readiness_status().await;
         late_upstream.answer(&late_request, "late").await;
         upstream.answer(&request, "open").await;
         let (open_answer, late_answer) = (open.read_answer().await, late.read_answer().await);
 
         // then
-        assert_eq!(readiness, 503);
+        assert_eq!((readiness, asked_again), (503, 503));
         assert_eq!((open_answer.body.as_str(), late_answer.body.as_str()), ("open", "late"));
         assert_eq!(open_answer.header("connection"), Some("close"));
         assert_eq!(late_answer.header("connection"), Some("close"));
