--- a/dataplane/src/attempt.rs
+++ b/dataplane/src/attempt.rs
@@ -102,7 +102,8 @@
 ) -> Result<Received, AttemptEnd> {
     let state = &progress.state;
     let taken =
-        Lease::take(state, &order.server, &order.address, |connection| request.has_used(connection)).await;
+        Lease::take(state, &order.server, &order.address, |connection| request.is_barred_from(connection))
+            .await;
     let mut lease = taken.map_err(|error| {
         slog::debug!(state.log, "no connection"; "server" => &order.server, "error" => %error);
         AttemptEnd::without_answer(Verdict::NeverSent, Ending::Unreachable)
--- a/dataplane/src/client_request.rs
+++ b/dataplane/src/client_request.rs
@@ -59,10 +59,11 @@
         self.used.borrow_mut().extend(connection);
     }
 
-    /// Whether it has been sent over this connection. Each sending has the same `Attempt-Id`, so that there a late
-    /// second copy of the former answer could not be told from the answer to a new sending.
-    pub fn has_used(&self, connection: ConnectionId) -> bool {
-        self.used.borrow().contains(&connection)
+    /// Whether an answer to it could not be told from others on this connection: it has been sent over that before, with
+    /// the same `Attempt-Id`, so that a second copy of the former answer may come; or it has no `Attempt-Id`, so that only
+    /// a connection on which nothing was answered yet will do.
+    pub fn is_barred_from(&self, connection: ConnectionId) -> bool {
+        self.attempt_id().is_none() || self.used.borrow().contains(&connection)
     }
 
     /// The request as one sending carries it; `None` if the server's id can be no header.
--- a/dataplane/tests/answers.rs
+++ b/dataplane/tests/answers.rs
@@ -418,3 +418,26 @@
         }
     });
 }
+
+#[test]
+fn given_requests_without_an_id_when_a_surplus_answer_may_come_then_each_has_a_connection_of_its_own() {
+    run(async {
+        // given
+        const REQUEST: &str = "POST /x/ HTTP/1.1\r\nhost: a.example\r\ncontent-length: 0\r\n\r\n";
+        const ANSWER: &str = "HTTP/1.1 200 OK\r\nserver-stamp: st\r\ncontent-length: 3\r\n\r\n";
+        let server = Server::start("i-1").await;
+        let (_edge, mut client) = edge_with_one(&server).await;
+
+        // when
+        let mut bodies = Vec::new();
+        for body in ["one", "two"] {
+            client.write(REQUEST).await;
+            let (mut upstream, _) = server.accept_request().await;
+            upstream.write(&format!("{ANSWER}{body}")).await;
+            bodies.push(client.read_answer().await.body);
+        }
+
+        // then
+        assert_eq!(bodies, ["one", "two"]);
+    });
+}
--- a/dataplane/tests/connections.rs
+++ b/dataplane/tests/connections.rs
@@ -51,6 +51,52 @@
     });
 }
 
+#[test]
+fn given_a_request_that_waits_for_a_server_when_its_client_leaves_then_the_server_that_comes_does_not_get_it()
+{
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "idempotent")]), &[]).await;
+        let (mut leaving, mut staying) = (edge.connect().await, edge.connect().await);
+        leaving.request("/x/", "t1", "").await;
+        staying.request("/x/", "t2", "").await;
+
+        // when
+        drop(leaving);
+        // By its answer the edge has seen the end of the other connection.
+        edge.readiness_status().await;
+        edge.coordinator.publish_servers(vec![server.record()]);
+        let (mut upstream, request) = server.accept_request().await;
+        upstream.answer(&request, "two").await;
+        let answer = staying.read_answer().await;
+
+        // then
+        assert_eq!((request.header("attempt-id"), answer.body.as_str()), (Some("t2"), "two"));
+        assert!(!server.has_caller().await);
+    });
+}
+
+#[test]
+fn given_a_request_whose_body_breaks_off_when_its_client_leaves_then_no_server_gets_it() {
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "idempotent")]), &[&server]).await;
+        let mut client = edge.connect().await;
+
+        // when
+        let head = "POST /x/ HTTP/1.1\r\nhost: a.example\r\nattempt-id: t1\r\ncontent-length: 9\r\n\r\n";
+        client.write(&format!("{head}part")).await;
+        edge.readiness_status().await;
+        drop(client);
+        edge.readiness_status().await;
+
+        // then
+        assert!(!server.has_caller().await);
+    });
+}
+
 #[test]
 fn given_a_second_answer_nobody_asked_for_when_it_comes_late_then_its_connection_is_not_used_again() {
     run(async {
