--- a/coordinator/src/driver/orders.rs
+++ b/coordinator/src/driver/orders.rs
@@ -42,10 +42,7 @@
 /// no answer is [`OrderOutcome::Unknown`], as the server may have taken the order.
 pub async fn deliver(outgoing: &Outgoing, may_write: impl Fn() -> bool + Unpin + 'static) -> OrderOutcome {
     let Some(request) = order_request(outgoing) else { return OrderOutcome::NotSent };
-    let Some(stream) = connect(&outgoing.address).await else { return OrderOutcome::NotSent };
-    if sockets::give_up_after(&stream, Duration::from_millis(ORDER_LEAVES_WITHIN)).is_err() {
-        return OrderOutcome::NotSent;
-    }
+    let Some(stream) = connect_for_order(&outgoing.address).await else { return OrderOutcome::NotSent };
     let (stream, written) = GatedStream::new(stream, may_write);
     let Ok((mut sender, connection)) = handshake(TokioIo::new(stream)).await else {
         return OrderOutcome::NotSent;
@@ -98,6 +95,14 @@
     report
 }
 
+/// A connection from which bytes leave within [`ORDER_LEAVES_WITHIN`] after they were written, or never; `None` if it
+/// does not come up, or the system does not promise that.
+pub async fn connect_for_order(address: &str) -> Option<TcpStream> {
+    let stream = connect(address).await?;
+    sockets::give_up_after(&stream, Duration::from_millis(ORDER_LEAVES_WITHIN)).ok()?;
+    Some(stream)
+}
+
 async fn connect(address: &str) -> Option<TcpStream> {
     sockets::connect(address.parse::<SocketAddrV4>().ok()?).await.ok()
 }
--- /dev/null
+++ b/coordinator/tests/driver_control.rs
@@ -0,0 +1,210 @@
+//! A coordinator's process over loopback: each caller has the answer to what it asked, whatever others do.
+
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use shaletrail_coordinator::driver::host::Host;
+use shaletrail_coordinator::driver::{control, disk, polls, sockets};
+use shaletrail_coordinator::interface::{CoreOptions, Event};
+use shaletrail_protocol::frame;
+use shaletrail_protocol::inside::{CoreMessage, EdgeIdentity, EdgeRequest, Hello, PollReply, PollRequest};
+use shaletrail_protocol::settings::Settings;
+use shaletrail_protocol::{Incarnation, NodeId};
+use slog::{o, Discard, Logger};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+mod common;
+
+/// Between two ticks.
+const TICK: Duration = Duration::from_millis(20);
+
+/// A coordinator that is alone in its system, and where it listens.
+struct Process {
+    control: SocketAddr,
+    internal: SocketAddr,
+    folder: PathBuf,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn on_one_thread(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let bounded = async { tokio::time::timeout(Duration::from_secs(20), test).await };
+    tokio::task::LocalSet::new().block_on(&runtime, bounded).expect("the test ends in time");
+}
+
+impl Process {
+    fn start(name: &str) -> Process {
+        let folder = std::env::temp_dir().join(format!("shaletrail-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let text = "nodeName=core-1\nip=127.0.0.1\nzone=a\nephemeralPorts=7660,7675\n\
+                    seedNodes=127.0.0.1:8146\nbootstrap=true\nfaultTolerance.hostsLost=0\nheartbeatMs=1200\n";
+        let settings: Settings = text.parse().expect("the settings are read");
+        let log = Logger::root(Discard, o!());
+        let opened = disk::open(&folder, &settings, &log).expect("the journal is opened");
+        let options = CoreOptions::from_settings(&settings, Incarnation(7));
+        let host = Host::start(options, &settings, opened, log.clone());
+        let listen = || {
+            let listener = sockets::listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("a port");
+            let address = listener.local_addr().expect("an address");
+            (listener, address)
+        };
+        let ((calls, control), (inside, internal)) = (listen(), listen());
+        tokio::task::spawn_local(control::serve(Rc::clone(&host), calls, log.clone()));
+        tokio::task::spawn_local(polls::serve(Rc::clone(&host), inside, log));
+        tokio::task::spawn_local(async move {
+            loop {
+                host.handle(Event::Tick);
+                tokio::time::sleep(TICK).await;
+            }
+        });
+        Process { control, internal, folder }
+    }
+
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.control).await.expect("a connection")
+    }
+
+    /// One call on a connection of its own, until it is answered other than 503.
+    async fn call(&self, method: &str, path: &str, base: u64, body: &str) -> (u16, String) {
+        loop {
+            let mut stream = self.connect().await;
+            send(&mut stream, method, path, base, body).await;
+            let (status, body) = answer(&mut stream).await;
+            if status != 503 {
+                return (status, body);
+            }
+            tokio::time::sleep(TICK).await;
+        }
+    }
+}
+
+async fn send(stream: &mut TcpStream, method: &str, path: &str, base: u64, body: &str) {
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: control\r\nBase-Version: {base}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(format!("{head}{body}").as_bytes()).await.expect("the call is written");
+}
+
+/// Reads one answer, to the end that its length names.
+async fn answer(stream: &mut TcpStream) -> (u16, String) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.expect("an answer"));
+    }
+    let head = String::from_utf8(head).expect("text").to_ascii_lowercase();
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status");
+    let length = head.split("content-length: ").nth(1).and_then(|rest| rest.split("\r\n").next());
+    let mut body = vec![0; length.and_then(|length| length.parse().ok()).expect("a length")];
+    stream.read_exact(&mut body).await.expect("the whole answer");
+    (status, String::from_utf8(body).expect("text"))
+}
+
+fn heartbeat(sequence: u64) -> String {
+    format!(
+        r#"{{"service":"web","address":"127.0.0.1:9","zone":"a","version":"v1","slots":4,"state":"ready",
+        "coldRemainingMs":0,"sequence":{sequence}}}"#
+    )
+}
+
+#[test]
+fn given_calls_one_after_the_other_on_one_connection_when_they_are_answered_then_each_has_its_own_answer() {
+    on_one_thread(async {
+        // given
+        let process = Process::start("kept-alive");
+        let configuration = common::configuration(3, "a.example");
+        assert_eq!(process.call("POST", "/Config.Replace", 0, &configuration).await.0, 200);
+
+        // when: all are written before the first is answered
+        let mut stream = process.connect().await;
+        send(&mut stream, "POST", "/Instances.Heartbeat/i-1", 0, &heartbeat(1)).await;
+        send(&mut stream, "POST", "/Config.Replace", 0, &common::configuration(3, "b.example")).await;
+        send(&mut stream, "GET", "/Config.Read", 0, "").await;
+        send(&mut stream, "POST", "/Config.Replace", 3, "{").await;
+        send(&mut stream, "POST", "/Nothing", 0, "").await;
+
+        // then
+        let (status, body) = answer(&mut stream).await;
+        assert_eq!((status, body.as_str()), (200, "{}"), "no address for later heartbeats is given out");
+        assert_eq!(answer(&mut stream).await, (412, "version 3 is current\n".to_owned()));
+        let (status, body) = answer(&mut stream).await;
+        assert!(status == 200 && body.contains("a.example") && !body.contains("b.example"), "{body}");
+        assert_eq!(answer(&mut stream).await.0, 400);
+        assert_eq!(answer(&mut stream).await.0, 404);
+    });
+}
+
+#[test]
+fn given_callers_that_leave_before_their_answer_when_others_call_then_they_get_their_own() {
+    on_one_thread(async {
+        let process = Process::start("leaving");
+        assert_eq!(
+            process.call("POST", "/Config.Replace", 0, &common::configuration(2, "a.example")).await.0,
+            200
+        );
+        for version in 3..20 {
+            let mut leaving = process.connect().await;
+            let body = common::configuration(version, "left.example");
+            send(&mut leaving, "POST", "/Config.Replace", 0, &body).await;
+            drop(leaving);
+            let (status, body) = process.call("GET", "/Config.Read", 0, "").await;
+            assert!(status == 200 && body.contains("a.example"), "{status} {body}");
+        }
+    });
+}
+
+#[test]
+fn given_bodies_over_their_bounds_when_they_come_then_they_are_refused() {
+    on_one_thread(async {
+        let process = Process::start("bounds");
+        let long = format!("{}{}", heartbeat(1), " ".repeat(4096));
+        assert_eq!(process.call("POST", "/Instances.Heartbeat/i-1", 0, &long).await.0, 413);
+        assert_eq!(process.call("POST", "/Instances.Heartbeat/i-1", 0, "{}x").await.0, 400);
+        assert_eq!(process.call("GET", "/Config.Replace", 0, "").await.0, 405);
+    });
+}
+
+#[test]
+fn given_other_nodes_that_send_half_a_frame_or_garbage_when_an_edge_polls_then_it_is_answered() {
+    on_one_thread(async {
+        // given
+        let process = Process::start("frames");
+        assert_eq!(
+            process.call("POST", "/Config.Replace", 0, &common::configuration(5, "a.example")).await.0,
+            200
+        );
+        let hello =
+            Hello::Core { node: NodeId::from(Ipv4Addr::new(127, 0, 0, 8)), incarnation: Incarnation(3) };
+        let message = frame::encode(&CoreMessage::DirectoryAck { batch: 1 });
+        for rest in [&message[..message.len() - 1], b"\xff\xff\xff\xffgarbage", b"\x00\x00\x00\x02\xff\xff"] {
+            let mut stream = TcpStream::connect(process.internal).await.expect("a connection");
+            stream.write_all(&frame::encode(&hello)).await.expect("the greeting is written");
+            stream.write_all(rest).await.expect("the bytes are written");
+            stream.shutdown().await.expect("the end is written");
+            let mut answer = Vec::new();
+            let _ = stream.read_to_end(&mut answer).await;
+            assert_eq!(answer, b"", "nobody answers on such a connection");
+        }
+
+        // when
+        let edge = EdgeIdentity { node: NodeId(100), incarnation: Incarnation(1), zone: "a".to_owned() };
+        let mut stream = TcpStream::connect(process.internal).await.expect("a connection");
+        let poll = EdgeRequest::Poll(PollRequest { hold_ms: 200, ..PollRequest::default() });
+        let call = [frame::encode(&Hello::Edge(edge)), frame::encode(&poll)].concat();
+        stream.write_all(&call).await.expect("the poll is written");
+
+        // then
+        let reply: PollReply = sockets::read_frame(&mut stream).await.expect("an answer");
+        assert!(!reply.isolated);
+        assert!(reply.config.is_some());
+    });
+}
--- a/simulation/tests/turns.rs
+++ b/simulation/tests/turns.rs
@@ -30,7 +30,7 @@
         let turn = fleet.world.now / 50;
         let adapter = format!("a{}", 1 + turn % 9);
         fleet.ask_model(edge, AGAIN, (turn % 2) as usize, Some(&adapter));
-        if turn % 10 == 0 {
+        if turn.is_multiple_of(10) {
             fleet.ask_model(edge, AGAIN, (turn / 10) as usize % MODELS, None);
         }
         fleet.run(50);
