--- a/coordinator/src/core/orders.rs
+++ b/coordinator/src/core/orders.rs
@@ -125,6 +125,12 @@
         true
     }
 
+    /// From when on this node may send orders to the servers of a shard's services, while it holds the lease; `None`
+    /// unless its turn has begun.
+    pub fn allowed_from(&self, shard: u32) -> Option<Millis> {
+        Some(self.leaderships.get(&shard)?.turn?.allowed_from)
+    }
+
     /// Takes over a configuration.
     pub fn configured(&mut self, view: &View) {
         self.catalogues = view
