Follow a holder's turn to its stop and its wait in the model

Orders are written while their turn goes on only, and a holder tells by an entry that it has waited: the model shows both, and a scene elects a holder anew that hadn't waited.

--- a/model/src/judge.rs
+++ b/model/src/judge.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use shaletrail_consensus::{Index, Term};
+use shaletrail_coordinator::core::orders::ORDER_LEAVES_WITHIN;
 use shaletrail_protocol::{Millis, NodeId};
 
 use crate::machine::{Fact, ORDER_LEASE};
@@ -22,7 +23,7 @@
 struct SeenTurn {
     node: NodeId,
     allowed_from: Millis,
-    /// Until when orders may have been sent; 0 before any.
+    /// Until when orders may have been written; 0 before any.
     until: Millis,
 }
 
@@ -94,6 +95,12 @@
                 }
                 self.check_turns()
             }
+            Fact::Stopped { fence, at } => {
+                if let Some(turn) = self.turns.get_mut(fence) {
+                    turn.until = turn.until.min(*at);
+                }
+                Ok(())
+            }
         }
     }
 
@@ -135,11 +142,12 @@
         })
     }
 
-    /// Orders of different holders lie a lease apart.
+    /// Orders of different holders lie a lease apart, even where one leaves its sender as late as it may.
     fn check_turns(&self) -> Result<(), Broken> {
         for (fence, turn) in &self.turns {
             for (later_fence, later) in self.turns.range(fence + 1..) {
-                let apart = turn.node == later.node || turn.until + ORDER_LEASE <= later.allowed_from;
+                let apart = turn.node == later.node
+                    || turn.until + ORDER_LEAVES_WITHIN + ORDER_LEASE <= later.allowed_from;
                 holds(apart || turn.until == 0, || {
                     format!(
                         "{} may order until {} by fence {fence}, {} from {} on by {later_fence}",
--- a/model/src/machine.rs
+++ b/model/src/machine.rs
@@ -99,8 +99,10 @@
     Read { token: u64, index: Index },
     /// Its turn has begun and it may send orders from then on.
     Turn { fence: u64, allowed_from: Millis },
-    /// It may send orders until then.
+    /// It may write orders until then, unless it stops leading before.
     Orders { fence: u64, until: Millis },
+    /// It leads no more, and so writes no order.
+    Stopped { fence: u64, at: Millis },
 }
 
 /// A machine after a step, with what it sent and showed.
@@ -178,6 +180,8 @@
     term: Term,
     since: Millis,
     allowed_from: Option<Millis>,
+    /// Whether the end of the wait for another node's orders is still to be told.
+    must_tell_waited: bool,
 }
 
 /// One machine.
@@ -269,6 +273,10 @@
         let (mut sent, mut facts) = (Vec::new(), Vec::new());
         machine.take(now, input);
         machine.pump(now, &mut sent, &mut facts);
+        if machine.tell_waited(now) {
+            machine.pump(now, &mut sent, &mut facts);
+        }
+        self.show_stop(now, &machine, &mut facts);
         machine.show_orders(&mut facts);
         machine.name();
         Outcome { machine: Arc::new(machine), sent, facts }
@@ -373,7 +381,8 @@
             Effect::ReadReady { token, index } => facts.push(Fact::Read { token, index }),
             Effect::ReadFailed { .. } => {}
             Effect::Elected { term } => {
-                self.leadership = Some(Leadership { term, since: now, allowed_from: None });
+                self.leadership =
+                    Some(Leadership { term, since: now, allowed_from: None, must_tell_waited: false });
                 facts.push(self.elected(term));
                 if self.settings.kind == Kind::Service {
                     let holder = Holder { node: self.node, fence: term };
@@ -441,9 +450,31 @@
         holders.turn(now, SERVICE_SHARD, turn, leads);
         let Some(allowed_from) = holders.allowed_from(SERVICE_SHARD) else { return };
         leadership.allowed_from = Some(allowed_from);
+        leadership.must_tell_waited = turn.must_wait;
         facts.push(Fact::Turn { fence: leadership.term, allowed_from });
     }
 
+    /// Writes down that the wait for another node's orders is over, as the coordinator does after each event.
+    fn tell_waited(&mut self, now: Millis) -> bool {
+        let Some(leadership) = &mut self.leadership else { return false };
+        let over = leadership.allowed_from.is_some_and(|allowed_from| allowed_from <= now);
+        if !over || !leadership.must_tell_waited {
+            return false;
+        }
+        let holder = Holder { node: self.node, fence: leadership.term };
+        let told = self.replica.propose(now, ServiceState::waited_command(holder)).is_ok();
+        leadership.must_tell_waited = !told;
+        told
+    }
+
+    /// Tells of the end of a turn between this state and the next.
+    fn show_stop(&self, now: Millis, next: &Machine, facts: &mut Vec<Fact>) {
+        let Some(former) = self.leadership.filter(|former| former.allowed_from.is_some()) else { return };
+        if next.leadership.is_none_or(|leadership| leadership.term != former.term) {
+            facts.push(Fact::Stopped { fence: former.term, at: now });
+        }
+    }
+
     fn show_orders(&self, facts: &mut Vec<Fact>) {
         let Some(Leadership { term, allowed_from: Some(allowed_from), .. }) = self.leadership else { return };
         if let Some(until) = self.replica.lease_until().filter(|until| allowed_from < *until) {
--- a/model/src/scenes.rs
+++ b/model/src/scenes.rs
@@ -119,6 +119,13 @@
             deep: 13,
             build: hand_over,
         },
+        Scene {
+            name: "turn_again",
+            about: "a holder that had not waited out another's orders crashes and is elected again",
+            short: 7,
+            deep: 13,
+            build: turn_again,
+        },
         Scene {
             name: "wiped_voter",
             about: "a voter that is asked for its vote acknowledges an entry and loses its disk",
@@ -219,6 +226,14 @@
     script.with(Budget { crashes: 1, stands: 1, hand_overs: 2, ..in_time(2) })
 }
 
+fn turn_again() -> World {
+    let mut script = Script::led_by_1(Kind::Service, settings(0));
+    script.feed(1, Input::HandOver).lose_all();
+    script.pass(ELECTION).feed(2, Input::Tick).calm();
+    script.feed(2, Input::Crash { torn: false }).pass(ELECTION).feed(2, Input::Tick);
+    script.with(Budget { stands: 1, hand_overs: 1, ..in_time(1) })
+}
+
 fn wiped_voter() -> World {
     let mut script = Script::led_by_1(Kind::Configuration, settings(0));
     script.feed(1, Input::Propose(0)).pass(ELECTION).feed(2, Input::Tick);
--- a/model/tests/scenes.rs
+++ b/model/tests/scenes.rs
@@ -44,6 +44,7 @@
     two_candidates,
     late_vote,
     hand_over,
+    turn_again,
     wiped_voter,
     readmission,
     joint_change,
