--- a/simulation/src/history.rs
+++ b/simulation/src/history.rs
@@ -9,6 +9,7 @@
 mod races;
 mod storms;
 
+pub use losses::is_whole;
 pub use points::Point;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -145,7 +146,7 @@
         let coordinators_made = options.coordinators;
         let mut history = History::begin(Fleet::ready(options), mix, coordinators_made);
         history.go_on(duration);
-        history.come_to_rest();
+        history.come_to_rest(RECOVERY);
         history.fleet.check();
         history.fleet
     }
@@ -415,7 +416,7 @@
     // ---- The end ---------------------------------------------------------------------------------------
 
     /// All trouble ends; after a while the system must be in service.
-    fn come_to_rest(&mut self) {
+    fn come_to_rest(&mut self, recovery: Millis) {
         self.tell("all trouble ends".to_owned());
         for (_, ending) in std::mem::take(&mut self.endings) {
             self.end(ending);
@@ -424,7 +425,7 @@
         self.world().network.set_disorder(Disorder::default());
         self.fleet.heal_all();
         self.fleet.operator.lost_answers = 0.0;
-        self.fleet.run(RECOVERY);
+        self.fleet.run(recovery);
         self.fleet.operator.give_up();
         self.fleet.read_within(ACKNOWLEDGED_WITHIN);
         let change = self.fleet.replace_within(ACKNOWLEDGED_WITHIN);
--- a/simulation/src/history/calls.rs
+++ b/simulation/src/history/calls.rs
@@ -115,7 +115,9 @@
     fn begin_disorder(&mut self) {
         let late = self.draw(LATE);
         let (doubled, overtaken) = if self.world().chance(0.5) { (0.15, 0.05) } else { (0.05, 0.15) };
-        self.tell(format!("messages come twice ({doubled}) or out of order ({overtaken}), up to {late} ms late"));
+        self.tell(format!(
+            "messages come twice ({doubled}) or out of order ({overtaken}), up to {late} ms late"
+        ));
         self.links_well = false;
         self.world().network.set_disorder(Disorder { doubled, overtaken, late });
         let until = self.later(Ending::Disorder);
@@ -173,7 +175,9 @@
         let Some(holder) = holder else { return };
         self.links_well = false;
         for server in self.fleet.servers() {
-            self.world().network.set_special((holder, server), Conditions { delay: 1..=LATE_ORDER, loss: 0.0 });
+            self.world()
+                .network
+                .set_special((holder, server), Conditions { delay: 1..=LATE_ORDER, loss: 0.0 });
         }
         self.endings.push((now + 6_000, Ending::Links));
         let orders = self.fleet.world.witness.orders.len();
--- a/simulation/src/history/losses.rs
+++ b/simulation/src/history/losses.rs
@@ -4,8 +4,8 @@
 
 use super::{Ending, History};
 use crate::coordinator::Coordinator;
-use crate::Fleet;
 use crate::site;
+use crate::Fleet;
 
 /// Losses of a history, one after the other.
 const LOSSES: std::ops::RangeInclusive<u64> = 2..=5;
@@ -199,7 +199,8 @@
 
 fn is_shard_whole(fleet: &Fleet, number: u32) -> bool {
     let replica_of = |node| Some(&fleet.coordinator(node)?.core().shards().get(number)?.replica);
-    let Some((leader, replica)) = fleet.leader_of(number).and_then(|node| Some((node, replica_of(node)?))) else {
+    let Some((leader, replica)) = fleet.leader_of(number).and_then(|node| Some((node, replica_of(node)?)))
+    else {
         return false;
     };
     let voters: Vec<NodeId> = replica.voters().members().collect();
--- a/simulation/src/history/points.rs
+++ b/simulation/src/history/points.rs
@@ -5,6 +5,8 @@
 use super::{History, Mix, MOST_CALLS};
 use crate::fleet::{Fleet, FleetOptions};
 
+/// The calm in which everything must come into service again.
+const RECOVERY: Millis = 5_000;
 /// Changes of a history that may be sent again, at most.
 const MOST_SENT: usize = 64;
 
@@ -54,7 +56,7 @@
             Point::Storms => history.play_storm(),
             Point::Calls => history.play_calls(),
         }
-        history.come_to_rest();
+        history.come_to_rest(RECOVERY);
         history.fleet.check();
         history.fleet
     }
