Give an edge without a configuration none that is known to be old, not for a moment

A coordinator that starts with old state is told the versions in force by all whose answers put it in touch, before those answers: it turns edges without a configuration away from its first moment in touch on.

A full disk showed another way to stay behind: a voter that can sync no new term answers its leader nothing, and gets no entries for as long as its disk refuses. Its edges now move as well.

Proposals are compared with index and term in the table of calls, where a test reaches it. The second bound on servers' calls is gone: the directory's own holds.

--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -11,25 +11,26 @@
 pub mod orders;
 pub mod polls;
 mod progress;
-pub mod servers;
+mod servers;
 pub mod service_state;
 pub mod shards;
 mod touch;
 pub mod voters;
 
-use shaletrail_cluster::directory::{self, Directory};
+use std::collections::HashMap;
+
+use shaletrail_cluster::directory::{self, CallToken, Directory};
 use shaletrail_cluster::{membership, Membership};
 use shaletrail_protocol::inside::CoreMessage;
 use shaletrail_protocol::{Millis, NodeId};
 use shaletrail_storage::Stored;
 
-use crate::interface::{Action, CoreOptions, Event};
+use crate::interface::{Action, CallId, CoreOptions, Event};
 use demand::{Edges, Gathered, SharingTimes};
 use memory::DirectoryMemory;
 use operator::{Caller, OperatorCalls, Ticket};
 use orders::Holders;
 use polls::HeldPolls;
-use servers::ServerCalls;
 use shards::Shards;
 use touch::VersionsElsewhere;
 
@@ -41,7 +42,8 @@
     directory_memory: DirectoryMemory,
     shards: Shards,
     operator_calls: OperatorCalls,
-    server_calls: ServerCalls,
+    /// Calls of servers that wait until a majority knows what they say.
+    server_calls: HashMap<CallToken, CallId>,
     polls: HeldPolls,
     edges: Edges,
     gathered: Gathered,
@@ -80,7 +82,7 @@
             directory_memory: DirectoryMemory::default(),
             shards,
             operator_calls: OperatorCalls::of_start(options.incarnation),
-            server_calls: ServerCalls::default(),
+            server_calls: HashMap::new(),
             polls: HeldPolls::default(),
             edges: Edges::new(options.retry_window.as_millis() as Millis, now),
             gathered: Gathered::default(),
@@ -111,10 +113,10 @@
                 self.checkpoint_if(wants_checkpoint, actions);
             }
             Event::Heartbeat { call, id, heartbeat } => self.heartbeat(now, call, id, heartbeat, actions),
-            Event::Deregister { call, id } => self.deregister(now, call, id, actions),
+            Event::Deregister { call, id } => self.deregister(now, call, id),
             Event::Operator { call, operator } => self.operate(now, Caller::Here(call), operator, actions),
             Event::Poll { call, edge, request } => self.poll(now, call, edge, request),
-            Event::PollLeft(call) => self.polls.remove(call),
+            Event::PollLeft(call) => drop(self.polls.remove(call)),
             Event::EdgeReport { edge, demand } => self.gather(edge, demand, Vec::new()),
             Event::EdgeLeft(node) => self.edges.left(node),
             Event::Ordered { order, outcome } => self.holders.ordered(now, order, outcome),
--- a/coordinator/src/core/operator.rs
+++ b/coordinator/src/core/operator.rs
@@ -71,19 +71,10 @@
     }
 
     pub(super) fn judged(&mut self, index: u64, term: u64, judgement: Judgement, actions: &mut Vec<Action>) {
-        let concerned = self.operator_calls.find(|pending| match pending.stage {
-            Stage::Proposed { index: own, .. } => own == index,
-            _ => false,
-        });
-        for ticket in concerned {
+        for ticket in self.operator_calls.decided(index, term) {
             let Some(pending) = self.operator_calls.get_mut(ticket) else { continue };
-            if pending.stage == (Stage::Proposed { index, term }) {
-                let answer = answer_of(&judgement, &pending.call);
-                self.end_call(ticket, answer, actions);
-            } else {
-                // Another leader's entry took the place: the proposal is lost.
-                pending.stage = Stage::Waiting;
-            }
+            let answer = answer_of(&judgement, &pending.call);
+            self.end_call(ticket, answer, actions);
         }
     }
 
--- a/coordinator/src/core/operator/table.rs
+++ b/coordinator/src/core/operator/table.rs
@@ -114,6 +114,14 @@
         self.pending.iter().filter(|(_, pending)| holds(pending)).map(|(ticket, _)| *ticket).collect()
     }
 
+    /// The calls that became the entry of this index and term. Calls whose index was taken by an entry of another
+    /// term are lost proposals: they are set back to waiting.
+    pub fn decided(&mut self, index: u64, term: u64) -> Vec<Ticket> {
+        let at_index = |stage| matches!(stage, Stage::Proposed { index: own, .. } if own == index);
+        self.start_over(|stage| at_index(stage) && stage != Stage::Proposed { index, term });
+        self.find(|pending| pending.stage == Stage::Proposed { index, term })
+    }
+
     /// Sets back to waiting what rests on a leadership that has changed.
     pub fn start_over(&mut self, concerns: impl Fn(Stage) -> bool) {
         for pending in self.pending.values_mut().filter(|pending| concerns(pending.stage)) {
--- a/coordinator/src/core/polls.rs
+++ b/coordinator/src/core/polls.rs
@@ -29,18 +29,21 @@
     pub(super) fn answer_polls(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let version = self.configuration_version();
         let cursor = self.directory.cursor();
-        let may_inform = self.may_inform(now);
         let due = |poll: &HeldPoll| {
-            poll.due <= now || !may_inform || poll.config_version < version || poll.cursor != cursor
+            poll.due <= now
+                || poll.config_version < version
+                || poll.cursor != cursor
+                || !self.may_inform(now, poll.config_version)
         };
-        for (call, poll) in self.polls.take(due) {
+        for call in self.polls.find(due) {
+            let Some(poll) = self.polls.remove(call) else { continue };
             let reply = Box::new(self.reply_to(now, &poll));
             actions.push(Action::AnswerPoll { call, reply });
         }
     }
 
     fn reply_to(&self, now: Millis, poll: &HeldPoll) -> PollReply {
-        if !self.may_inform(now) {
+        if !self.may_inform(now, poll.config_version) {
             return self.turn_away(poll);
         }
         let news = self.directory.since(poll.cursor);
--- a/coordinator/src/core/polls/table.rs
+++ b/coordinator/src/core/polls/table.rs
@@ -44,15 +44,19 @@
         true
     }
 
-    /// Its caller has left.
-    pub fn remove(&mut self, call: CallId) {
-        self.waiting.remove(&call);
+    /// Takes a poll out, to be answered or as its caller has left.
+    pub fn remove(&mut self, call: CallId) -> Option<HeldPoll> {
+        self.waiting.remove(&call)
+    }
+
+    /// The polls for which something holds.
+    pub fn find(&self, holds: impl Fn(&HeldPoll) -> bool) -> Vec<CallId> {
+        self.waiting.iter().filter(|(_, poll)| holds(poll)).map(|(call, _)| *call).collect()
     }
 
     /// Takes out the polls for which something holds.
     pub fn take(&mut self, holds: impl Fn(&HeldPoll) -> bool) -> Vec<(CallId, HeldPoll)> {
-        let calls: Vec<CallId> =
-            self.waiting.iter().filter(|(_, poll)| holds(poll)).map(|(call, _)| *call).collect();
-        calls.into_iter().filter_map(|call| Some((call, self.waiting.remove(&call)?))).collect()
+        let calls = self.find(holds);
+        calls.into_iter().filter_map(|call| Some((call, self.remove(call)?))).collect()
     }
 }
--- a/coordinator/src/core/servers.rs
+++ b/coordinator/src/core/servers.rs
@@ -1,7 +1,5 @@
 //! Calls of servers, and what coordinators tell each other of them.
 
-use std::collections::HashMap;
-
 use shaletrail_cluster::directory::{CallToken, DirectoryMessage, Settlement};
 use shaletrail_protocol::inside::CoreMessage;
 use shaletrail_protocol::outside::Heartbeat;
@@ -10,31 +8,6 @@
 use super::Core;
 use crate::interface::{Action, CallId};
 
-/// Calls of servers that wait for a majority at once, at most.
-const MOST_SERVER_CALLS: usize = 1_024;
-
-/// Calls of servers that wait until a majority knows what they say, by the directory's names for them.
-#[derive(Debug, Default)]
-pub struct ServerCalls {
-    waiting: HashMap<CallToken, CallId>,
-}
-
-impl ServerCalls {
-    /// Takes a call in; false if too many wait.
-    pub fn add(&mut self, token: CallToken, call: CallId) -> bool {
-        if self.waiting.len() >= MOST_SERVER_CALLS {
-            return false;
-        }
-        self.waiting.insert(token, call);
-        true
-    }
-
-    /// Takes out the call that the directory has settled or given up.
-    pub fn remove(&mut self, token: CallToken) -> Option<CallId> {
-        self.waiting.remove(&token)
-    }
-}
-
 impl Core {
     pub(super) fn heartbeat(
         &mut self,
@@ -45,7 +18,7 @@
         actions: &mut Vec<Action>,
     ) {
         match self.directory.heartbeat(now, &id, heartbeat).call {
-            Some(token) => self.wait_for_majority(call, token, actions),
+            Some(token) => self.wait_for_majority(call, token),
             None => actions.push(Action::AnswerServer { call, taken: true }),
         }
     }
@@ -74,22 +47,21 @@
                 Settlement::Settled(token) => (token, true),
                 Settlement::Failed(token) => (token, false),
             };
-            if let Some(call) = self.server_calls.remove(token) {
+            if let Some(call) = self.server_calls.remove(&token) {
                 actions.push(Action::AnswerServer { call, taken });
             }
         }
     }
 
     /// A server says that it is about to end.
-    pub(super) fn deregister(&mut self, now: Millis, call: CallId, id: ServerId, actions: &mut Vec<Action>) {
+    pub(super) fn deregister(&mut self, now: Millis, call: CallId, id: ServerId) {
         let token = self.directory.deregister(now, &id);
-        self.wait_for_majority(call, token, actions);
+        self.wait_for_majority(call, token);
     }
 
-    fn wait_for_majority(&mut self, call: CallId, token: CallToken, actions: &mut Vec<Action>) {
+    /// The call is answered when the directory settles it or gives it up, which also bounds how many wait.
+    fn wait_for_majority(&mut self, call: CallId, token: CallToken) {
         self.directory_memory.hurry();
-        if !self.server_calls.add(token, call) {
-            actions.push(Action::AnswerServer { call, taken: false });
-        }
+        self.server_calls.insert(token, call);
     }
 }
--- a/coordinator/src/core/touch.rs
+++ b/coordinator/src/core/touch.rs
@@ -51,8 +51,13 @@
         }
     }
 
-    /// Whether a later version has been known to be in force elsewhere for too long.
-    pub fn is_behind(&self, now: Millis) -> bool {
+    /// Whether a later version is known to be in force elsewhere.
+    pub fn is_behind(&self) -> bool {
+        self.behind_since.is_some()
+    }
+
+    /// Whether one has been for too long to be just on its way here.
+    pub fn is_left_behind(&self, now: Millis) -> bool {
         self.behind_since.is_some_and(|since| now.saturating_sub(since) >= BEHIND_FOR)
     }
 
@@ -67,9 +72,12 @@
 }
 
 impl Core {
-    /// Whether edges may go by what this node knows. Where they may not, they are sent to another one.
-    pub(super) fn may_inform(&self, now: Millis) -> bool {
-        self.in_touch && !self.versions_elsewhere.is_behind(now)
+    /// Whether an edge may go by what this node knows. Where it may not, it is sent to another one. An edge that
+    /// has no configuration yet, version 0, is not given one that is known to be old.
+    pub(super) fn may_inform(&self, now: Millis, config_version: u64) -> bool {
+        let elsewhere = &self.versions_elsewhere;
+        let behind = if config_version == 0 { elsewhere.is_behind() } else { elsewhere.is_left_behind(now) };
+        self.in_touch && !behind
     }
 
     pub(super) fn update_touch(&mut self, now: Millis, actions: &mut Vec<Action>) {
@@ -96,7 +104,8 @@
         let version = self.configuration_version();
         for member in members.iter().filter(|member| changed.contains(&member.node)) {
             self.directory.peer_started(now, member.node, member.incarnation);
-            // It may have started with old state, which it should know before it informs edges.
+            // It may have started with old state. It is told before its ping is answered, so that it knows of the
+            // versions of all those whose answers put it in touch.
             if member.node != self.options.node {
                 actions.push(Action::Send { to: member.node, message: CoreMessage::InForce { version } });
             }
--- a/coordinator/tests/common/group.rs
+++ b/coordinator/tests/common/group.rs
@@ -28,6 +28,8 @@
     stored: Vec<Stored>,
     actions: Vec<Action>,
     frozen: bool,
+    /// Its disk refuses every write.
+    refuses: bool,
     /// Events that came while it was frozen, as in its sockets.
     in_sockets: Vec<Event>,
 }
@@ -60,7 +62,8 @@
         };
         for number in 1..=coordinators {
             let (core, stored, actions) = (None, Vec::new(), Vec::new());
-            let machine = Machine { core, stored, actions, frozen: false, in_sockets: Vec::new() };
+            let machine =
+                Machine { core, stored, actions, frozen: false, refuses: false, in_sockets: Vec::new() };
             group.machines.insert(number, machine);
         }
         (1..=coordinators).for_each(|number| group.start_as(number, true));
@@ -109,6 +112,11 @@
         }
     }
 
+    /// The disk of a machine refuses every write, or takes them again.
+    pub fn refuse_writes(&mut self, number: u8, refuses: bool) {
+        self.machine(number).refuses = refuses;
+    }
+
     /// Cuts the way from one machine to another, or joins it.
     pub fn cut_one_way(&mut self, from: u8, to: u8, cut: bool) {
         if cut {
@@ -171,9 +179,13 @@
         while self.now < end {
             self.now += TICK;
             for number in self.numbers() {
-                if !self.machines[&number].frozen {
-                    self.tell(number, Event::Tick);
+                if self.machines[&number].frozen {
+                    continue;
+                }
+                if self.machines[&number].refuses {
+                    self.tell(number, Event::DiskSick { wants_checkpoint: false });
                 }
+                self.tell(number, Event::Tick);
             }
             self.deliver();
         }
@@ -194,6 +206,7 @@
                         let to = to.address().octets()[3];
                         self.under_way.push_back((number, to, message));
                     }
+                    Action::Store { .. } if self.machines[&number].refuses => {}
                     Action::Store { ticket, records } => {
                         let stored = records.into_iter().map(|(stream, bytes)| Stored { stream, bytes });
                         self.machine(number).stored.extend(stored);
--- a/coordinator/tests/contact.rs
+++ b/coordinator/tests/contact.rs
@@ -344,3 +344,123 @@
     assert!(!reply.isolated);
     assert_eq!(reply.edges, 0, "not known, and not one alone");
 }
+
+#[test]
+fn given_a_coordinator_that_starts_with_old_state_when_it_hears_all_but_the_leader_then_it_gives_that_to_nobody(
+) {
+    // given: a change that it has missed, and its way to the leader cut
+    let mut group = configured(3);
+    let leader = group.leader();
+    let old = group.others(leader)[0];
+    group.kill(old);
+    group.run(1_000);
+    let change = group.replace(leader, 1, &configuration(2, "b.example"));
+    group.run(500);
+    assert!(is_done(group.answer(leader, change)));
+    group.cut(leader, old, true);
+
+    // when
+    group.start(old);
+    for _ in 0..40 {
+        let call = poll(&mut group, old, 0);
+        group.run(50);
+
+        // then: not even in the first moment in touch
+        if let Some(reply) = group.reply(old, call) {
+            assert!(reply.config.is_none(), "{reply:?}");
+        }
+    }
+    assert!(group.core(old).is_in_touch());
+    assert_eq!(group.core(old).configuration_version(), 1);
+}
+
+#[test]
+fn given_a_change_on_its_way_when_edges_poll_then_only_one_without_a_configuration_is_sent_elsewhere_at_once()
+{
+    // given: the version is in force elsewhere, and its entry late here
+    let mut group = configured(3);
+    let leader = group.leader();
+    let late = group.others(leader)[0];
+    group.run(500);
+    group.hold(move |_, to, message| to == late && matches!(message, CoreMessage::Shard { .. }));
+    group.replace(leader, 1, &configuration(2, "b.example"));
+    group.run(100);
+    assert_eq!(group.core(late).configuration_version(), 1);
+
+    // when
+    let (new, known) = (poll(&mut group, late, 0), poll(&mut group, late, 1));
+    group.run(100);
+
+    // then
+    assert!(brings_nothing(&reply(&group, late, new)));
+    assert_eq!(group.reply(late, known), None, "it is held");
+    group.release();
+    assert_eq!(reply(&group, late, known).config.map(|news| news.version), Some(2));
+}
+
+#[test]
+fn given_a_coordinator_that_has_just_started_when_an_edge_polls_then_its_servers_are_not_told_as_all() {
+    // given
+    let mut group = configured(3);
+    group.heartbeat(1, "i-1", ServerState::Ready, 1);
+    group.run(500);
+    let whole = |group: &mut Group| {
+        let call = group.poll(1, 100, PollRequest { hold_ms: HOLD, ..PollRequest::default() });
+        group.run(HOLD.into());
+        let reply = reply(group, 1, call);
+        assert!(!reply.isolated);
+        reply.whole
+    };
+    assert!(whole(&mut group));
+
+    // when
+    group.kill(1);
+    group.start(1);
+    group.run(1_000);
+
+    // then
+    assert!(!whole(&mut group));
+    group.run(4_000);
+    assert!(whole(&mut group));
+}
+
+#[test]
+fn given_a_leader_whose_disk_refuses_every_write_when_it_is_called_then_another_leads_and_it_serves_on() {
+    // given
+    let mut group = configured(3);
+    let sick = group.leader();
+    group.heartbeat(sick, "i-1", ServerState::Ready, 1);
+
+    // when
+    group.refuse_writes(sick, true);
+    group.run(2_000);
+    let change = group.replace(sick, 1, &configuration(2, "b.example"));
+    let draining = group.heartbeat(sick, "i-1", ServerState::Draining, 2);
+    group.run(800);
+
+    // then: the change is taken by the others, and edges here get it or are sent elsewhere
+    assert_ne!(group.leader(), sick);
+    assert!(is_done(group.answer(sick, change)), "{:?}", group.answer(sick, change));
+    assert_eq!(group.taken(sick, draining), Some(true));
+    let call = poll(&mut group, sick, 1);
+    let reply = reply(&group, sick, call);
+    assert!(reply.isolated || reply.config.is_some(), "{reply:?}");
+
+    // and with two such disks of three nothing is confirmed that one loss of power could undo
+    let second = group.leader();
+    group.refuse_writes(second, true);
+    group.run(500);
+    let change = group.replace(sick, 2, &configuration(3, "c.example"));
+    group.run(2_000);
+    assert_eq!(group.answer(sick, change), Some(&OperatorAnswer::Unavailable));
+}
+
+#[test]
+fn given_no_majority_when_more_servers_leave_than_may_wait_then_the_next_is_sent_elsewhere_at_once() {
+    let mut group = Group::leading(3);
+    group.cut_off(1, true);
+    let waiting: Vec<CallId> = (0..1_024).map(|number| group.deregister(1, &format!("i-{number}"))).collect();
+    assert!(waiting.iter().all(|call| group.taken(1, *call).is_none()));
+    let call = group.deregister(1, "i-another");
+    assert_eq!(group.taken(1, call), Some(false));
+}
--- a/coordinator/tests/parts.rs
+++ b/coordinator/tests/parts.rs
@@ -11,7 +11,7 @@
 use shaletrail_coordinator::core::voters::{group_size, wanted, Candidate};
 use shaletrail_coordinator::interface::CallId;
 use shaletrail_protocol::inside::{Demand, DirectoryCursor, Observation, OperatorCall};
-use shaletrail_protocol::NodeId;
+use shaletrail_protocol::{Incarnation, NodeId};
 
 fn candidate(number: u8, absent: bool, caught_up: bool) -> Candidate {
     Candidate { node: node(number), absent, caught_up }
@@ -113,6 +113,50 @@
     assert!(calls.remove(proposed).is_none());
 }
 
+#[test]
+fn given_proposals_when_an_entry_of_another_term_takes_their_index_then_only_that_of_the_same_term_is_decided(
+) {
+    // given
+    let mut calls = OperatorCalls::default();
+    let mut propose = |index, term| {
+        let ticket = calls.add(0, Caller::Here(CallId(1)), OperatorCall::Read).expect("there is room");
+        calls.get_mut(ticket).expect("it waits").stage = Stage::Proposed { index, term };
+        ticket
+    };
+    let (other_term, same, other_index) = (propose(7, 2), propose(7, 3), propose(8, 3));
+
+    // when, then
+    assert_eq!(calls.decided(7, 3), vec![same]);
+    assert_eq!(calls.find(|pending| pending.stage == Stage::Waiting), vec![other_term]);
+    let stage = calls.get_mut(other_index).expect("it waits").stage;
+    assert_eq!(stage, Stage::Proposed { index: 8, term: 3 });
+}
+
+#[test]
+fn given_two_starts_of_a_node_when_they_name_calls_then_no_name_is_given_twice() {
+    let names = |incarnation| {
+        let mut calls = OperatorCalls::of_start(Incarnation(incarnation));
+        let mut add = || calls.add(0, Caller::Here(CallId(1)), OperatorCall::Read).expect("there is room");
+        [add(), add(), add()]
+    };
+    let (first, second) = (names(70), names(71));
+    assert!(first.iter().all(|name| !second.contains(name)), "{first:?} {second:?}");
+}
+
+#[test]
+fn given_more_polls_than_may_wait_when_another_comes_then_it_is_not_taken_in() {
+    let mut polls = HeldPolls::default();
+    let poll = HeldPoll {
+        edge: node(100),
+        config_version: 0,
+        cursor: DirectoryCursor::default(),
+        edge_list: 0,
+        due: 100,
+    };
+    assert!((0..2_048).all(|call| polls.add(0, CallId(call), poll.clone())));
+    assert!(!polls.add(0, CallId(2_048), poll));
+}
+
 #[test]
 fn given_a_poll_when_it_asks_to_be_held_for_an_hour_then_it_is_held_for_ten_seconds() {
     let mut polls = HeldPolls::default();
