--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -11,26 +11,28 @@
 pub mod orders;
 pub mod polls;
 mod progress;
-pub mod servers;
+mod servers;
 pub mod service_state;
 pub mod shards;
 mod touch;
 pub mod voters;
 
-use shaletrail_cluster::directory::{self, Directory};
+use std::collections::HashMap;
+
+use shaletrail_cluster::directory::{self, CallToken, Directory};
 use shaletrail_cluster::{membership, Membership};
 use shaletrail_protocol::inside::CoreMessage;
 use shaletrail_protocol::{Millis, NodeId};
 use shaletrail_storage::Stored;
 
-use crate::interface::{Action, CoreOptions, Event};
+use crate::interface::{Action, CallId, CoreOptions, Event};
 use demand::{Edges, Gathered, SharingTimes};
 use memory::DirectoryMemory;
 use operator::{Caller, OperatorCalls, Ticket};
 use orders::Holders;
 use polls::HeldPolls;
-use servers::ServerCalls;
 use shards::Shards;
+use touch::VersionsElsewhere;
 
 /// A coordinator's decisions.
 pub struct Core {
@@ -40,7 +42,8 @@
     directory_memory: DirectoryMemory,
     shards: Shards,
     operator_calls: OperatorCalls,
-    server_calls: ServerCalls,
+    /// Calls of servers that wait until a majority knows what they say.
+    server_calls: HashMap<CallToken, CallId>,
     polls: HeldPolls,
     edges: Edges,
     gathered: Gathered,
@@ -48,6 +51,7 @@
     holders: Holders,
     /// Whether a majority of the configuration's voters has answered this node of late.
     in_touch: bool,
+    versions_elsewhere: VersionsElsewhere,
     /// The disk counts as sick until then.
     sick_until: Millis,
     /// When the voters are looked at next.
@@ -77,14 +81,15 @@
             directory,
             directory_memory: DirectoryMemory::default(),
             shards,
-            operator_calls: OperatorCalls::default(),
-            server_calls: ServerCalls::default(),
+            operator_calls: OperatorCalls::of_start(options.incarnation),
+            server_calls: HashMap::new(),
             polls: HeldPolls::default(),
             edges: Edges::new(options.retry_window.as_millis() as Millis, now),
             gathered: Gathered::default(),
             sharing_times: SharingTimes::new(now),
             holders,
             in_touch: false,
+            versions_elsewhere: VersionsElsewhere::default(),
             sick_until: 0,
             next_voter_review: now,
             announced_version: 0,
@@ -108,10 +113,10 @@
                 self.checkpoint_if(wants_checkpoint, actions);
             }
             Event::Heartbeat { call, id, heartbeat } => self.heartbeat(now, call, id, heartbeat, actions),
-            Event::Deregister { call, id } => self.deregister(now, call, id, actions),
+            Event::Deregister { call, id } => self.deregister(now, call, id),
             Event::Operator { call, operator } => self.operate(now, Caller::Here(call), operator, actions),
             Event::Poll { call, edge, request } => self.poll(now, call, edge, request),
-            Event::PollLeft(call) => self.polls.remove(call),
+            Event::PollLeft(call) => drop(self.polls.remove(call)),
             Event::EdgeReport { edge, demand } => self.gather(edge, demand, Vec::new()),
             Event::EdgeLeft(node) => self.edges.left(node),
             Event::Ordered { order, outcome } => self.holders.ordered(now, order, outcome),
@@ -172,13 +177,14 @@
                 self.edges.told(edges, now);
                 self.holders.demand(now, &reports);
             }
+            CoreMessage::InForce { version } => self.versions_elsewhere.told(now, from, version),
         }
     }
 
     /// What each event ends with.
     fn settle(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.update_touch(now, actions);
-        self.update_members(now);
+        self.update_members(now, actions);
         self.update_voters(now, actions);
         self.advance_calls(now, actions);
         self.run_shards(now, actions);
--- a/coordinator/src/core/operator/table.rs
+++ b/coordinator/src/core/operator/table.rs
@@ -8,7 +8,8 @@
 use std::collections::BTreeMap;
 
 use shaletrail_protocol::inside::OperatorCall;
-use shaletrail_protocol::{Millis, NodeId};
+use shaletrail_protocol::{Incarnation, Millis, NodeId};
+use shaletrail_ring::mix;
 
 use crate::interface::CallId;
 
@@ -72,10 +73,16 @@
 #[derive(Debug, Default)]
 pub struct OperatorCalls {
     pending: BTreeMap<Ticket, Pending>,
-    next: u64,
+    last: u64,
 }
 
 impl OperatorCalls {
+    /// For one start of a coordinator. Other starts give other names, so that an answer that is still on its way to
+    /// an earlier start, which had handed a call on, is no answer to a call of this one.
+    pub fn of_start(incarnation: Incarnation) -> Self {
+        OperatorCalls { last: mix(incarnation.0) << 32, ..OperatorCalls::default() }
+    }
+
     /// Takes a call in; `None` if too many wait.
     pub fn add(&mut self, now: Millis, caller: Caller, call: OperatorCall) -> Option<Ticket> {
         if self.pending.len() >= MOST_CALLS {
@@ -86,8 +93,8 @@
             OperatorCall::Read => 0,
         };
         let until = now + PATIENCE + PATIENCE_PER_MB * megabytes;
-        self.next += 1;
-        let ticket = Ticket(self.next);
+        self.last += 1;
+        let ticket = Ticket(self.last);
         self.pending.insert(ticket, Pending { caller, call, stage: Stage::Waiting, until });
         Some(ticket)
     }
@@ -107,6 +114,14 @@
         self.pending.iter().filter(|(_, pending)| holds(pending)).map(|(ticket, _)| *ticket).collect()
     }
 
+    /// The calls that became the entry of this index and term. Calls whose index was taken by an entry of another
+    /// term are lost proposals: they are set back to waiting.
+    pub fn decided(&mut self, index: u64, term: u64) -> Vec<Ticket> {
+        let at_index = |stage| matches!(stage, Stage::Proposed { index: own, .. } if own == index);
+        self.start_over(|stage| at_index(stage) && stage != Stage::Proposed { index, term });
+        self.find(|pending| pending.stage == Stage::Proposed { index, term })
+    }
+
     /// Sets back to waiting what rests on a leadership that has changed.
     pub fn start_over(&mut self, concerns: impl Fn(Stage) -> bool) {
         for pending in self.pending.values_mut().filter(|pending| concerns(pending.stage)) {
