--- a/storage/tests/journal.rs
+++ b/storage/tests/journal.rs
@@ -457,3 +457,28 @@
         assert!(!opened.fresh);
     }
 }
+
+#[test]
+fn given_parts_of_two_records_when_opened_then_they_are_not_put_together() {
+    // Given: a first part of one stream, and in its sequence the last part of another.
+    let mut disk = MemoryDisk::new(1);
+    append_synced(&mut open(&disk).journal, &["one"]);
+    let part = |sequence, stream, first| RecordHeader {
+        generation: 1,
+        sequence,
+        synced: 1,
+        stream,
+        kind: Kind::Append,
+        first,
+        last: !first,
+        length: 4,
+    };
+    let mut bytes = Vec::new();
+    record::encode(&part(2, 1, true), b"head", &mut bytes);
+    record::encode(&part(3, 2, false), b"tail", &mut bytes);
+    // When
+    disk.write_at("ring-0000", 4096 + record::span(3) as u64, &bytes).expect("the disk is well");
+    // Then
+    let error = Journal::open(disk, &small_options()).err().expect("they do not fit");
+    assert_snapshot!(error, @"ring-0000 is damaged at byte 4192: parts of a record do not fit together");
+}
--- a/storage/tests/writer.rs
+++ b/storage/tests/writer.rs
@@ -23,6 +23,14 @@
 }
 
 fn stage(change: impl FnOnce(&mut WriterOptions)) -> Stage {
+    stage_with(change, |_, _| {})
+}
+
+/// A stage on which the disk is changed by what the writer tells, before the writer goes on.
+fn stage_with(
+    change: impl FnOnce(&mut WriterOptions),
+    on_report: impl Fn(&MemoryDisk, &Report) + Send + 'static,
+) -> Stage {
     let disk = MemoryDisk::new(1);
     let now = Arc::new(AtomicU64::new(0));
     let shown = now.clone();
@@ -34,7 +42,11 @@
     };
     change(&mut options);
     let (sender, reports) = channel();
-    let report = Box::new(move |report| sender.send(report).expect("the test listens"));
+    let told = disk.clone();
+    let report = Box::new(move |report| {
+        on_report(&told, &report);
+        sender.send(report).expect("the test listens");
+    });
     let writer = Writer::start(open(&disk).journal, options, report).expect("a thread starts");
     Stage { disk, writer, reports, now }
 }
@@ -346,3 +358,29 @@
     stage.until_done(refused);
     assert_eq!(stage.stored_names(), ["all"]);
 }
+
+#[test]
+fn given_two_appends_when_the_disk_stalls_after_the_first_then_the_second_still_waits() {
+    // Given
+    let stage = stage_with(
+        |_| {},
+        |disk, report| {
+            if matches!(report, Report::Done { ticket: 1, .. }) {
+                disk.close_gate();
+            }
+        },
+    );
+    stage.disk.close_gate();
+    stage.append(1, "a");
+    stage.disk.wait_until_stalled();
+    stage.append(2, "b");
+    // When
+    stage.disk.open_gate();
+    stage.until_done(1);
+    stage.now.store(700, Ordering::SeqCst);
+    // Then
+    assert_eq!(stage.writer.oldest_unfinished(), Some(Duration::from_millis(700)));
+    stage.disk.open_gate();
+    stage.until_done(2);
+    assert_eq!(stage.writer.oldest_unfinished(), None);
+}
