Refuse requests that come late to an ending edge and may outlast it

Ruled out: readiness, which was 503 from the first check on. Change: from 2.7 s on (half of the time left where that is shorter) only requests whose deadline lies before the end are taken; others get 503 with Retry-After, unsent.

--- a/dataplane/src/ingress.rs
+++ b/dataplane/src/ingress.rs
@@ -129,6 +129,9 @@
     let id = state.name_request();
     let reading_ms = state.clock.now().saturating_sub(arrived_at);
     let new_request = new_request(id, route.clone(), &head, body.len() as u64, reading_ms);
+    if !state.takes(new_request.deadline_ms) {
+        return own_answer(StatusCode::SERVICE_UNAVAILABLE, Some(COME_BACK_MS));
+    }
     let request = ClientRequest::new(head, body, room, stall_after(route));
     let writer = AnswerWriter::default();
     let ticket = state.open(id, new_request);
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod request;
 mod stall;
 mod state;
+pub mod stopping;
 mod upstream;
 mod watched;
 
@@ -204,8 +205,9 @@
         let ending = async {
             control.stopped().await;
             slog::info!(state.log, "stopping");
-            let killed_at = tokio::time::Instant::now() + settings.bounds.grace.saturating_sub(BEFORE_KILL);
-            state.stop();
+            let time_left = settings.bounds.grace.saturating_sub(BEFORE_KILL);
+            let killed_at = tokio::time::Instant::now() + time_left;
+            state.stop(time_left);
             let drained = async {
                 wait_for_quiet(&state, &clients, settings.bounds.grace / 2).await;
                 accepting.abort();
--- a/dataplane/src/state.rs
+++ b/dataplane/src/state.rs
@@ -17,6 +17,7 @@
 use shaletrail_routing::Router;
 use tokio::sync::Notify;
 
+use crate::stopping::Stopping;
 use crate::upstream::Pool;
 
 /// Commands kept for one exchange; more than this is never of use, as each replaces those before.
@@ -97,7 +98,7 @@
     actions: RefCell<Vec<Action>>,
     mailboxes: RefCell<AHashMap<RequestId, Mailbox>>,
     view: RefCell<Arc<View>>,
-    is_stopping: Cell<bool>,
+    stopping: Cell<Option<Stopping>>,
     next_request: Cell<u64>,
     body_bytes: Cell<u64>,
     most_body_bytes: u64,
@@ -122,7 +123,7 @@
             actions: RefCell::default(),
             mailboxes: RefCell::default(),
             view: RefCell::default(),
-            is_stopping: Cell::new(false),
+            stopping: Cell::new(None),
             next_request: Cell::new(1),
             body_bytes: Cell::new(0),
             most_body_bytes: (settings.limits.memory_mb << 20) / BODY_MEMORY_PART,
@@ -146,7 +147,12 @@
 
     /// Whether the process has been told to end.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.get()
+        self.stopping.get().is_some()
+    }
+
+    /// Whether a request that lasts `longest_ms` milliseconds at most is still taken.
+    pub fn takes(&self, longest_ms: Millis) -> bool {
+        self.stopping.get().is_none_or(|stopping| stopping.takes(self.clock.now(), longest_ms))
     }
 
     /// Puts a newer configuration in force.
@@ -155,11 +161,16 @@
         self.handle(Event::View(view));
     }
 
-    /// Begins the end of the process: not ready, and nothing waits longer than it must.
-    pub fn stop(&self) {
-        if !self.is_stopping.replace(true) {
-            self.handle(Event::Stopping);
+    /// Begins the end of the process, which breaks off what is open after `within`: not ready, and nothing waits longer
+    /// than it must.
+    pub fn stop(&self, within: Duration) {
+        if self.is_stopping() {
+            return;
         }
+        let begun_at = self.clock.now();
+        let ends_at = begun_at.saturating_add(within.as_millis() as Millis);
+        self.stopping.set(Some(Stopping { begun_at, ends_at }));
+        self.handle(Event::Stopping);
     }
 
     /// Tells the router what has happened, and hands its actions on.
--- a/dataplane/tests/pure.rs
+++ b/dataplane/tests/pure.rs
@@ -10,6 +10,7 @@
 use shaletrail_dataplane::events::{CutError, EventCutter, LONGEST_EVENT};
 use shaletrail_dataplane::poller::Pace;
 use shaletrail_dataplane::request::{asks_to_close, host, strip_hop_by_hop, Wish};
+use shaletrail_dataplane::stopping::Stopping;
 use shaletrail_protocol::NodeId;
 use std::time::Duration;
 
@@ -283,3 +284,21 @@
         Pace { hold: Duration::from_millis(1000), late: Duration::from_millis(400) }
     );
 }
+
+#[test]
+fn given_a_process_that_ends_when_requests_come_then_late_ones_are_taken_only_if_they_end_before_it() {
+    // given
+    let stopping = Stopping { begun_at: 10_000, ends_at: 17_300 };
+
+    // when
+    let at_once = stopping.takes(10_000, 15_000);
+    let while_still_asked = stopping.takes(12_699, 15_000);
+    let late_and_long = stopping.takes(13_492, 15_000);
+    let late_and_short = stopping.takes(13_492, 1_500);
+    let last_that_fits = stopping.takes(15_800, 1_500);
+    let first_that_does_not = stopping.takes(15_801, 1_500);
+
+    // then
+    assert!(at_once && while_still_asked && late_and_short && last_that_fits);
+    assert!(!late_and_long && !first_that_does_not);
+}
--- a/dataplane/tests/stopping.rs
+++ b/dataplane/tests/stopping.rs
@@ -109,3 +109,38 @@
         std::fs::remove_file(&path).expect("the settings file");
     });
 }
+
+#[test]
+fn given_a_process_that_ends_when_a_request_comes_late_that_may_outlast_it_then_it_is_refused_unsent() {
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "non_idempotent")]), &[&server]).await;
+        edge.control.stop();
+
+        // when
+        let mut attempts = 0;
+        let refusal = loop {
+            attempts += 1;
+            let mut client = edge.connect().await;
+            client.request("/x/", &format!("t{attempts}"), "").await;
+            let taken = async {
+                let (mut upstream, request) = server.accept_request().await;
+                upstream.answer(&request, "early").await;
+                std::future::pending::<()>().await;
+            };
+            let answer = tokio::select! {
+                answer = client.read_answer() => answer,
+                () = taken => unreachable!("a server that has answered waits"),
+            };
+            if answer.status() != 200 {
+                break answer;
+            }
+        };
+
+        // then
+        assert_eq!(refusal.status(), 503);
+        assert_eq!(refusal.header("retry-after"), Some("0.200"));
+        assert_eq!(refusal.header("connection"), Some("close"));
+    });
+}
