--- a/consensus/tests/aimed.rs
+++ b/consensus/tests/aimed.rs
@@ -440,10 +440,13 @@
             group.run(200);
             group.machine(leader).compact();
             group.act(leader, |_, _| ());
-            // It returns with a disk that hangs, and the new leader has nobody else.
+            // It returns, the new leader has nobody else, and its disk hangs as the snapshot comes.
             let third = others(&group, former).into_iter().find(|node| *node != leader).expect("a third");
             group.cuts.clear();
             group.isolate(third);
+            let installs = |group: &Group| group.sent.get("Install").copied().unwrap_or_default();
+            let before = installs(&group);
+            group.run_until(2000, |group| installs(group) > before);
             group.machine(former).is_disk_stalled = true;
             for _ in 0..8 {
                 run_up_to(&mut group, 200);
