--- a/consensus/tests/aimed.rs
+++ b/consensus/tests/aimed.rs
@@ -367,6 +367,64 @@
     });
 }
 
+/// Waits until all disks count again.
+fn readmit_all(group: &mut Group) -> NodeId {
+    group.heal();
+    let counts = |group: &Group| group.machines.values().all(|machine| !machine.disk.is_forgetful());
+    assert!(group.run_until(8000, counts), "{}", group.describe());
+    mend(group)
+}
+
+#[test]
+fn given_a_voter_that_loses_its_disk_after_it_voted_or_acknowledged_when_its_part_is_played_again_then_nothing_is_lost(
+) {
+    play_all(95_000, |seed| {
+        let mut group = Group::founded(3, seed);
+        for _ in 0..6 {
+            let former = readmit_all(&mut group);
+            let mut followers = others(&group, former);
+            if coin(&mut group) {
+                followers.reverse();
+            }
+            let (absent, wiped) = (followers[0], followers[1]);
+            if coin(&mut group) {
+                // It alone has acknowledged with the leader, and meets one that has not heard of that.
+                group.isolate(absent);
+                run_up_to(&mut group, 300);
+                ask_all(&mut group);
+                run_up_to(&mut group, 60);
+                group.wipe(wiped);
+                group.crash(former);
+            } else {
+                // It has elected another leader, and meets the one before, which does not know.
+                group.isolate(former);
+                group.run_until(950, |group| group.leader().is_some_and(|leader| leader != former));
+                run_up_to(&mut group, 30);
+                ask_all(&mut group);
+                run_up_to(&mut group, 60);
+                let newer = group.leader().filter(|leader| *leader != former);
+                let voter = followers.iter().copied().find(|node| Some(*node) != newer).expect("a voter");
+                group.wipe(voter);
+                group.cuts.clear();
+                newer.into_iter().for_each(|newer| group.isolate(newer));
+                group.restart(voter);
+                for _ in 0..10 {
+                    ask_all(&mut group);
+                    group.run(20);
+                }
+            }
+            group.cuts.retain(|(from, to)| ![*from, *to].contains(&absent));
+            group.restart(wiped);
+            for _ in 0..20 {
+                ask_all(&mut group);
+                group.run(100);
+            }
+        }
+        readmit_all(&mut group);
+        group
+    });
+}
+
 /// Cuts a follower off until the leader's log no longer reaches back to where it stands.
 fn fall_behind(group: &mut Group, leader: NodeId) -> NodeId {
     let followers = others(group, leader);
