--- a/consensus/tests/aimed.rs
+++ b/consensus/tests/aimed.rs
@@ -107,7 +107,7 @@
 {
     play_all(20_000, |seed| {
         let mut group = Group::founded(3, seed);
-        for _ in 0..4 {
+        for _ in 0..8 {
             held_up_candidate(&mut group);
         }
         group
@@ -115,9 +115,10 @@
 }
 
 /// A leader is cut off for less than it takes to step down, a voter gathers pre-votes and is held up by its disk,
-/// the third voter hears the leader again and may restart, and then the request for its vote arrives.
+/// the third voter hears the leader again and may start again, or lose its disk as the leader stops; then the request
+/// for its vote arrives.
 fn held_up_candidate(group: &mut Group) {
-    let leader = mend(group);
+    let leader = readmit_all(group);
     let others = others(group, leader);
     group.isolate(leader);
     others.iter().for_each(|node| group.machine(*node).is_disk_stalled = true);
@@ -129,10 +130,20 @@
     group.cuts.clear();
     group.partition(&[leader], &[candidate]);
     run_up_to(group, 300);
-    if coin(group) {
-        group.crash(voter);
-        group.restart(voter);
-        run_up_to(group, 200);
+    ask_all(group);
+    run_up_to(group, 100);
+    match draw(group, 3) {
+        0 | 1 => {
+            group.crash(voter);
+            group.restart(voter);
+            run_up_to(group, 200);
+        }
+        2 => {
+            group.wipe(voter);
+            group.restart(voter);
+            group.crash(leader);
+        }
+        _ => {}
     }
     group.machine(candidate).is_disk_stalled = false;
     group.run(100);
