--- a/dataplane/src/received.rs
+++ b/dataplane/src/received.rs
@@ -127,6 +127,11 @@
         answer.pass(held).await;
         loop {
             match self.piece().await {
+                // The client's connection asks for no more once it has the length announced: the end is not waited for.
+                Some(Ok(piece)) if self.body.is_end_stream() => {
+                    answer.finish(piece);
+                    return self.served();
+                }
                 Some(Ok(piece)) => answer.pass(piece).await,
                 Some(Err(BrokenBody)) => {
                     return self.over(Verdict::HasRun, answer.broken());
--- a/dataplane/tests/connections.rs
+++ b/dataplane/tests/connections.rs
@@ -33,6 +33,53 @@
     });
 }
 
+#[test]
+fn given_whole_answers_of_all_shapes_when_the_next_request_comes_then_the_connection_is_used_again() {
+    const LONG: usize = 300_000;
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "idempotent")]), &[&server]).await;
+        let mut client = edge.connect().await;
+        client.request("/x/", "t1", "body").await;
+        let (mut upstream, request) = server.accept_request().await;
+
+        // when
+        upstream.answer(&request, "").await;
+        let empty = client.read_answer().await;
+        client.request("/x/", "t2", "body").await;
+        let request = upstream.read_request().await;
+        upstream.answer(&request, &"y".repeat(LONG)).await;
+        let long = client.read_answer().await;
+        client.request("/x/", "t3", &"b".repeat(4096)).await;
+        let request = upstream.read_request().await;
+        upstream.head(&request, 200, "server-stamp: st\r\ntransfer-encoding: chunked\r\n").await;
+        upstream.chunk("three").await;
+        upstream.end_chunks().await;
+        let chunked = client.read_answer().await;
+        client.request("/x/", "t4", "").await;
+        let request = upstream.read_request().await;
+        upstream.head(&request, 404, "content-length: 4\r\n").await;
+        upstream.write("none").await;
+        let failure = client.read_answer().await;
+        client.request("/x/", "t5", "").await;
+        let request = upstream.read_request().await;
+        upstream.stream_head(&request, "st").await;
+        upstream.chunk("id: 1\n\n").await;
+        upstream.end_chunks().await;
+        let stream = client.read_answer().await;
+        client.request("/x/", "t6", "").await;
+        let last = upstream.read_request().await;
+
+        // then
+        assert_eq!((empty.body.len(), long.body.len()), (0, LONG));
+        assert_eq!((chunked.body.as_str(), failure.body.as_str()), ("three", "none"));
+        assert_eq!(stream.body, "id: 1\n\n");
+        assert_eq!(last.header("attempt-id"), Some("t6"));
+        assert!(!server.has_caller().await);
+    });
+}
+
 #[test]
 fn given_a_request_under_way_when_the_client_leaves_then_the_servers_connection_is_closed() {
     run(async {
