Keep the connections of the id-less requests open in their test, so that it tells reuse

Cause: the test dropped the first connection, and passed without the guard. Ruled out: the early answer's test as proof of give_back, as the taking asks the same.

--- a/dataplane/tests/answers.rs
+++ b/dataplane/tests/answers.rs
@@ -429,12 +429,13 @@
         let (_edge, mut client) = edge_with_one(&server).await;
 
         // when
-        let mut bodies = Vec::new();
+        let (mut bodies, mut upstreams) = (Vec::new(), Vec::new());
         for body in ["one", "two"] {
             client.write(REQUEST).await;
             let (mut upstream, _) = server.accept_request().await;
             upstream.write(&format!("{ANSWER}{body}")).await;
             bodies.push(client.read_answer().await.body);
+            upstreams.push(upstream);
         }
 
         // then
