Put scenes of the model closer to their dangers

A leader whose disk loses what it counted, a vote given before a loss, a readmission point that no majority holds, a promise before a restart: each of these now breaks within a few steps when its guard is taken out.

--- a/model/src/world.rs
+++ b/model/src/world.rs
@@ -367,6 +367,20 @@
         self
     }
 
+    /// Delivers entries, states and answers to them between two nodes until none is under way.
+    pub fn exchange_entries(&mut self, leader: u32, follower: u32) -> &mut Self {
+        let is_of_these = |flight: &Arc<Flight>| {
+            let (from, to, name) = (flight.from.0, flight.to.0, flight.message.name());
+            (from, to) == (leader, follower) && matches!(name, "Append" | "Install")
+                || (from, to) == (follower, leader) && name == "AppendAnswer"
+        };
+        while let Some(place) = self.world.flights.iter().position(is_of_these) {
+            let flight = self.world.flights.remove(place);
+            self.feed(flight.to.0, Input::Receive(flight));
+        }
+        self
+    }
+
     /// Loses all that is under way.
     pub fn lose_all(&mut self) -> &mut Self {
         self.world.flights.clear();
--- a/model/tests/scenes.rs
+++ b/model/tests/scenes.rs
@@ -40,12 +40,16 @@
 
 every_interleaving_holds!(
     half_replicated,
+    leaders_disk,
     slow_disks,
     two_candidates,
     late_vote,
+    promise_before_restart,
     hand_over,
     turn_again,
     wiped_voter,
+    vote_before_loss,
+    point_not_committed,
     readmission,
     joint_change,
     leaving_holder,
