--- a/simulation/src/checks.rs
+++ b/simulation/src/checks.rs
@@ -7,13 +7,17 @@
 
 use crate::operator::version_of;
 use crate::site;
-use crate::witness::{OrderSeen, Outcome, Sending, Witness};
+use crate::witness::{ChangeSent, OrderSeen, Outcome, Sending, Witness};
 
 /// Loads allowed in a window beyond the store's rate.
 const LOADS_BEYOND: f64 = 3.0;
 /// Orders that arrive so soon after their sender was thawed or a link was joined don't count, in milliseconds.
 const FREEZE_SLACK: Millis = 300;
 
+/// How long what a coordinator has handed out may be on its way beyond `convergenceMs`, in milliseconds: a link that is
+/// cut holds it up.
+const ON_ITS_WAY: Millis = 1_000;
+
 /// Bounds of the rules.
 #[derive(Clone, Debug)]
 pub struct Bounds {
@@ -54,6 +58,30 @@
         /// The change.
         change: u64,
     },
+    /// A change was refused on grounds that cannot be: its own base, or a version older than one that had been
+    /// acknowledged or read before.
+    FalseConflict {
+        /// The change.
+        change: u64,
+        /// What it was built on.
+        base: u64,
+        /// The version that was said to be current.
+        current: u64,
+        /// The newest version that was known to be in force before the change was sent.
+        known: u64,
+    },
+    /// A proper change was refused as one that cannot be taken.
+    RefusedThoughProper {
+        /// The change.
+        change: u64,
+    },
+    /// A change that was acknowledged is not among those on which a later one was built.
+    Lost {
+        /// The change that was acknowledged.
+        change: u64,
+        /// The later one, which is in force or acknowledged.
+        later: u64,
+    },
     /// A read that began after an acknowledgement does not know it.
     StaleRead {
         /// When it began.
@@ -82,6 +110,16 @@
         /// To this version.
         to: u64,
     },
+    /// An edge took a configuration that had long been superseded, in touch or not: a coordinator handed it out that
+    /// could not know whether it was current.
+    HandedOutOld {
+        /// The edge.
+        edge: NodeId,
+        /// What it took.
+        version: u64,
+        /// What had been acknowledged long before.
+        acknowledged: u64,
+    },
     /// A request was sent to a server that had long said that it leaves.
     SentToDraining {
         /// The server.
@@ -194,7 +232,9 @@
 /// All rules that were broken.
 pub fn violations(witness: &Witness, bounds: &Bounds) -> Vec<Violation> {
     let mut found = configuration(witness);
-    found.extend(edges(witness));
+    found.extend(refusals(witness));
+    found.extend(lost(witness));
+    found.extend(edges(witness, bounds));
     found.extend(drains(witness, bounds));
     found.extend(requests(witness, bounds));
     found.extend(repeats(witness, bounds));
@@ -217,6 +257,8 @@
         let read = witness.reads.iter().any(|read| site::marked(&read.document) == Some(*number));
         if refused && (change.acknowledged_at().is_some() || in_force || read) {
             found.push(Violation::RefusedThoughTaken { change: *number });
+        } else if change.outcomes.iter().any(|(_, outcome)| *outcome == Outcome::Invalid) {
+            found.push(Violation::RefusedThoughProper { change: *number });
         }
     }
     let twice = acknowledged.into_iter().filter(|(_, changes)| changes.len() > 1);
@@ -234,6 +276,51 @@
     found
 }
 
+fn refusals(witness: &Witness) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for refusal in &witness.refusals {
+        let Some(change) = witness.changes.get(&refusal.change) else { continue };
+        let read = witness.reads.iter().filter(|read| read.at < refusal.begun);
+        let read = read.map(|read| version_of(&read.document)).max().unwrap_or_default();
+        let known = witness.acknowledged_version(refusal.begun).max(read);
+        if refusal.current == change.base || refusal.current < known {
+            found.push(Violation::FalseConflict {
+                change: refusal.change,
+                base: change.base,
+                current: refusal.current,
+                known,
+            });
+        }
+    }
+    found
+}
+
+/// Each change names the version that it was built on: none that was acknowledged may lie between the two.
+fn lost(witness: &Witness) -> Vec<Violation> {
+    let acknowledged: BTreeMap<u64, u64> = witness
+        .changes
+        .iter()
+        .filter(|(_, change)| change.acknowledged_at().is_some())
+        .map(|(number, change)| (change.version, *number))
+        .collect();
+    let in_force = witness.in_force.iter().filter_map(|seen| seen.change);
+    let read = witness.reads.iter().filter_map(|read| site::marked(&read.document));
+    let taken: BTreeSet<u64> = acknowledged.values().copied().chain(in_force).chain(read).collect();
+    let mut found = Vec::new();
+    for later in taken {
+        let Some(ChangeSent { base, version, .. }) = witness.changes.get(&later) else { continue };
+        if base + 1 < *version {
+            // Two that were acknowledged on one base are found as such.
+            let of_one_base = |other: &u64| {
+                acknowledged.get(version) == Some(&later) && witness.changes[other].base == *base
+            };
+            let between = acknowledged.range(base + 1..*version).filter(|(_, change)| !of_one_base(change));
+            found.extend(between.map(|(_, change)| Violation::Lost { change: *change, later }));
+        }
+    }
+    found
+}
+
 /// Whether two configurations have the same items, in whichever order.
 fn same(one: &serde_json::Value, other: &serde_json::Value) -> bool {
     let sorted = |document: &serde_json::Value| {
@@ -248,7 +335,7 @@
     sorted(one) == sorted(other)
 }
 
-fn edges(witness: &Witness) -> Vec<Violation> {
+fn edges(witness: &Witness, bounds: &Bounds) -> Vec<Violation> {
     let mut found = Vec::new();
     let mut newest: BTreeMap<(NodeId, u64), u64> = BTreeMap::new();
     let mut versions: BTreeMap<u64, Option<u64>> = BTreeMap::new();
@@ -258,6 +345,16 @@
         if seen.version <= before {
             found.push(Violation::WentBack { edge: seen.edge, from: before, to: seen.version });
         }
+        let long_ago = seen.at.saturating_sub(bounds.convergence + ON_ITS_WAY);
+        let acknowledged = witness.acknowledged_version(long_ago);
+        let healed = witness
+            .healed
+            .get(&seen.edge)
+            .is_some_and(|moments| moments.iter().any(|at| (*at..=at + FREEZE_SLACK).contains(&seen.at)));
+        if seen.version < acknowledged && !healed {
+            let (edge, version) = (seen.edge, seen.version);
+            found.push(Violation::HandedOutOld { edge, version, acknowledged });
+        }
         let change = versions.entry(seen.version).or_insert(seen.change);
         let sent = seen.change.and_then(|change| witness.changes.get(&change));
         if *change != seen.change || sent.is_none_or(|sent| sent.version != seen.version) {
@@ -371,7 +468,7 @@
     };
     for order in witness.orders.iter().filter(|order| !healed(order)) {
         let Some(before) = last.insert(&order.server, order) else { continue };
-        let another = before.holder != order.holder;
+        let another = before.holder != order.holder || before.from != order.from;
         if order.token < before.token || (another && order.token == before.token) {
             found.push(Violation::Fences { before: before.clone(), after: order.clone() });
         }
