--- a/tools/guards/run.py
+++ b/tools/guards/run.py
@@ -23,7 +23,7 @@
 
 HERE = Path(__file__).resolve().parent
 REPOSITORY = HERE.parent.parent
-SCRATCH = REPOSITORY / "target" / "guards"
+SCRATCH = (REPOSITORY / "target" / "guards").resolve()
 
 BUILD_LIMIT_S = 1800.0
 """Seconds that a build may take."""
