--- a/tools/guards/run.py
+++ b/tools/guards/run.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import fcntl
 import json
 import os
 import queue
@@ -43,7 +44,7 @@
 
 
 class ListError(Exception):
-    """A list of guards is not as README.md says, or does not fit the code."""
+    """Guards cannot be tried: a list is not as README.md says or does not fit the code, or another run is under way."""
 
 
 @dataclass(frozen=True)
@@ -464,13 +465,34 @@
     return parser.parse_args()
 
 
+def chosen_lists(areas: list[str] | None) -> list[Path]:
+    """The lists of some areas, by file name with or without the ending; all lists without areas."""
+    lists = sorted(HERE.glob("*.toml"))
+    if not areas:
+        return lists
+    stems = {Path(area).stem for area in areas}
+    unknown = sorted(stems - {path.stem for path in lists})
+    if unknown:
+        raise ListError(f"no such list: {', '.join(unknown)}")
+    return [path for path in lists if path.stem in stems]
+
+
+def hold_scratch() -> TextIO:
+    """Keeps other runs away from the scratch copies until the file is closed."""
+    SCRATCH.mkdir(parents=True, exist_ok=True)
+    lock = (SCRATCH / "lock").open("w", encoding="utf-8")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        raise ListError(f"another run uses {SCRATCH}") from None
+    return lock
+
+
 def main() -> int:
     """Runs the script; its exit code."""
     arguments = parse_arguments()
     tracked = tracked_files()
-    guards = read_guards(sorted(HERE.glob("*.toml")))
-    if arguments.area:
-        guards = [guard for guard in guards if guard.area in {Path(name).stem for name in arguments.area}]
+    guards = read_guards(chosen_lists(arguments.area))
     if arguments.only:
         unknown = sorted(set(arguments.only) - {guard.name for guard in guards})
         if unknown:
@@ -488,7 +510,8 @@
         return 0
     if not guards:
         raise ListError("there are no guards to try")
-    verdicts = Run(guards, tracked, arguments.limit).run(arguments.jobs)
+    with hold_scratch():
+        verdicts = Run(guards, tracked, arguments.limit).run(arguments.jobs)
     print(f"{sum(verdict.caught for verdict in verdicts)} of {len(verdicts)} guards caught")
     if arguments.markdown:
         arguments.markdown.write_text(as_markdown(verdicts), encoding="utf-8")
