--- a/tools/guards/run.py
+++ b/tools/guards/run.py
@@ -155,6 +155,18 @@
     return problems
 
 
+def programs_of(guard: Guard, tracked: list[str]) -> tuple[str, ...]:
+    """The test programs that hold the tests that a guard names; none if they cannot be told by their files."""
+    chosen: set[str] = set()
+    for name in guard.tests:
+        wanted = re.compile(rf"\bfn\s+{re.escape(name)}\b")
+        holders = {path for path in tracked if path.endswith(".rs") and wanted.search(read_text(path))}
+        if not holders or any(Path(path).parent.name != "tests" for path in holders):
+            return ()
+        chosen |= {Path(path).stem for path in holders}
+    return tuple(sorted(chosen))
+
+
 def tracked_files() -> list[str]:
     """The files that git tracks or would track, journal entries apart."""
     command = ["git", "ls-files", "-z", "--cached", "--others", "--exclude-standard", "--", ".", ":!journal"]
@@ -192,22 +204,24 @@
         for place in [place for place in self.source.rglob("*") if place.is_file() and place not in wanted]:
             place.unlink()
 
-    def try_without(self, guard: Guard, limit_s: float) -> Outcome:
-        """Runs the tests with the guard taken out, and puts it back."""
+    def try_without(self, guard: Guard, chosen: tuple[str, ...], limit_s: float) -> Outcome:
+        """Runs the tests with the guard taken out, and puts it back. Only the chosen programs, if there are any."""
         place = self.source / guard.file
         original = place.read_text(encoding="utf-8")
         # Both writes give the file a new time: cargo goes by that.
         place.write_text(original.replace(guard.find, guard.replace), encoding="utf-8")
         try:
-            return self.run_tests(guard.name, guard.packages, limit_s)
+            return self.run_tests(guard.name, guard.packages, chosen, limit_s)
         finally:
             place.write_text(original, encoding="utf-8")
 
-    def run_tests(self, name: str, packages: tuple[str, ...], limit_s: float) -> Outcome:
-        """Builds and runs all test programs of some packages, within a limit for each program and for all."""
+    def run_tests(
+        self, name: str, packages: tuple[str, ...], chosen: tuple[str, ...], limit_s: float
+    ) -> Outcome:
+        """Builds and runs the chosen test programs of some packages, or all, within a limit for all together."""
         begun = time.monotonic()
         with (self.logs / f"{name}.log").open("w", encoding="utf-8") as log:
-            programs = self.build(packages, log)
+            programs = self.build(packages, chosen, log)
             if programs is None:
                 return Outcome(compiled=False, seconds=time.monotonic() - begun)
             outcome = Outcome(compiled=True)
@@ -217,10 +231,11 @@
         outcome.seconds = time.monotonic() - begun
         return outcome
 
-    def build(self, packages: tuple[str, ...], log: TextIO) -> list[TestProgram] | None:
-        """Builds the test programs; `None` if that fails."""
-        chosen = [argument for package in packages for argument in ("-p", package)]
-        command = ["cargo", "test", "--locked", "--no-run", "--message-format=json-render-diagnostics", *chosen]
+    def build(self, packages: tuple[str, ...], chosen: tuple[str, ...], log: TextIO) -> list[TestProgram] | None:
+        """Builds the chosen test programs, or all; `None` if that fails."""
+        command = ["cargo", "test", "--locked", "--no-run", "--message-format=json-render-diagnostics"]
+        command += [argument for package in packages for argument in ("-p", package)]
+        command += [argument for program in chosen for argument in ("--test", program)]
         ended = run_limited(command, self.source, self.environment, BUILD_LIMIT_S)
         log.write(ended.errors)
         if ended.code != 0:
@@ -402,9 +417,10 @@
 class Run:
     """Tries all guards, each worker with a scratch copy of its own."""
 
-    def __init__(self, guards: list[Guard], tracked: list[str], limit_s: float) -> None:
+    def __init__(self, guards: list[Guard], tracked: list[str], limit_s: float, named_only: bool) -> None:
         self.guards = guards
         self.tracked = tracked
+        self.chosen = {guard.name: programs_of(guard, tracked) if named_only else () for guard in guards}
         self.limit_s = limit_s
         self.lock = threading.Lock()
         self.outcomes: dict[str, Outcome] = {}
@@ -421,7 +437,9 @@
         first.refresh(self.tracked)
         packages = tuple(sorted({package for guard in self.guards for package in guard.packages}))
         print(f"unchanged: tests of {', '.join(packages)}", flush=True)
-        self.unchanged = first.run_tests("unchanged", packages, self.limit_s * len(packages))
+        programs: set[str] = set().union(*self.chosen.values()) if all(self.chosen.values()) else set()
+        limit_s = self.limit_s * len(packages)
+        self.unchanged = first.run_tests("unchanged", packages, tuple(sorted(programs)), limit_s)
         if not self.unchanged.compiled:
             raise ListError(f"the unchanged code does not compile, see {first.logs / 'unchanged.log'}")
         for name in sorted(self.unchanged.failed) + self.unchanged.broken_targets:
@@ -442,7 +460,7 @@
             copy.refresh(self.tracked)
             while True:
                 guard = self.left.get_nowait()
-                outcome = copy.try_without(guard, self.limit_s)
+                outcome = copy.try_without(guard, self.chosen[guard.name], self.limit_s)
                 with self.lock:
                     self.outcomes[guard.name] = outcome
                     print_verdict(judge(guard, outcome, self.unchanged))
@@ -459,6 +477,9 @@
     parser.add_argument("--area", action="append", metavar="FILE", help="guards of this list only; may be repeated")
     parser.add_argument("--jobs", type=int, default=2, help="guards tried at a time (default 2)")
     parser.add_argument("--limit", type=float, default=DEFAULT_TEST_LIMIT_S, help="seconds for a guard's tests")
+    parser.add_argument(
+        "--named", action="store_true", help="build and run only the test programs that hold the named tests: quicker"
+    )
     parser.add_argument("--markdown", type=Path, metavar="FILE", help="write the table there")
     parser.add_argument("--list", action="store_true", help="print the guards and end")
     parser.add_argument("--check", action="store_true", help="check only that the lists fit the code")
@@ -511,7 +532,7 @@
     if not guards:
         raise ListError("there are no guards to try")
     with hold_scratch():
-        verdicts = Run(guards, tracked, arguments.limit).run(arguments.jobs)
+        verdicts = Run(guards, tracked, arguments.limit, arguments.named).run(arguments.jobs)
     print(f"{sum(verdict.caught for verdict in verdicts)} of {len(verdicts)} guards caught")
     if arguments.markdown:
         arguments.markdown.write_text(as_markdown(verdicts), encoding="utf-8")
