--- a/tools/guards/run.py
+++ b/tools/guards/run.py
@@ -114,8 +114,8 @@
 
     def texts(key: str) -> tuple[str, ...]:
         value = entry.get(key)
-        if not isinstance(value, list) or not value or not all(isinstance(item, str) for item in value):
-            raise ListError(f"{path.name}: {name}: `{key}` must be a list of names that is not empty")
+        if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+            raise ListError(f"{path.name}: {name}: `{key}` must be a list of names")
         return tuple(value)
 
     state = entry.get("state", False)
@@ -142,6 +142,8 @@
     packages = {tomllib.loads(text).get("package", {}).get("name") for text in manifests}
     problems = []
     for guard in guards:
+        if not guard.packages:
+            problems.append(f"{guard.area}.toml: {guard.name}: `packages` names none")
         label = f"{guard.area}.toml: {guard.name}"
         count = sources.get(guard.file, "").count(guard.find)
         if guard.file not in sources:
@@ -528,6 +530,9 @@
         raise ListError("\n".join(problems))
     if arguments.check:
         print(f"{len(guards)} guards fit the code")
+        for guard in guards:
+            if not guard.tests:
+                print(f"{guard.area}.toml: {guard.name}: held by no test that the list names")
         return 0
     if not guards:
         raise ListError("there are no guards to try")
