--- a/tools/guards/run.py
+++ b/tools/guards/run.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import fcntl
 import json
 import os
 import queue
@@ -23,7 +24,7 @@
 
 HERE = Path(__file__).resolve().parent
 REPOSITORY = HERE.parent.parent
-SCRATCH = REPOSITORY / "target" / "guards"
+SCRATCH = (REPOSITORY / "target" / "guards").resolve()
 
 BUILD_LIMIT_S = 1800.0
 """Seconds that a build may take."""
@@ -43,7 +44,7 @@
 
 
 class ListError(Exception):
-    """A list of guards is not as README.md says, or does not fit the code."""
+    """Guards cannot be tried: a list is not as README.md says or does not fit the code, or another run is under way."""
 
 
 @dataclass(frozen=True)
@@ -113,8 +114,8 @@
 
     def texts(key: str) -> tuple[str, ...]:
         value = entry.get(key)
-        if not isinstance(value, list) or not value or not all(isinstance(item, str) for item in value):
-            raise ListError(f"{path.name}: {name}: `{key}` must be a list of names that is not empty")
+        if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+            raise ListError(f"{path.name}: {name}: `{key}` must be a list of names")
         return tuple(value)
 
     state = entry.get("state", False)
@@ -141,6 +142,8 @@
     packages = {tomllib.loads(text).get("package", {}).get("name") for text in manifests}
     problems = []
     for guard in guards:
+        if not guard.packages:
+            problems.append(f"{guard.area}.toml: {guard.name}: `packages` names none")
         label = f"{guard.area}.toml: {guard.name}"
         count = sources.get(guard.file, "").count(guard.find)
         if guard.file not in sources:
@@ -154,6 +157,18 @@
     return problems
 
 
+def programs_of(guard: Guard, tracked: list[str]) -> tuple[str, ...]:
+    """The test programs that hold the tests that a guard names; none if they cannot be told by their files."""
+    chosen: set[str] = set()
+    for name in guard.tests:
+        wanted = re.compile(rf"\bfn\s+{re.escape(name)}\b")
+        holders = {path for path in tracked if path.endswith(".rs") and wanted.search(read_text(path))}
+        if not holders or any(Path(path).parent.name != "tests" for path in holders):
+            return ()
+        chosen |= {Path(path).stem for path in holders}
+    return tuple(sorted(chosen))
+
+
 def tracked_files() -> list[str]:
     """The files that git tracks or would track, journal entries apart."""
     command = ["git", "ls-files", "-z", "--cached", "--others", "--exclude-standard", "--", ".", ":!journal"]
@@ -191,22 +206,24 @@
         for place in [place for place in self.source.rglob("*") if place.is_file() and place not in wanted]:
             place.unlink()
 
-    def try_without(self, guard: Guard, limit_s: float) -> Outcome:
-        """Runs the tests with the guard taken out, and puts it back."""
+    def try_without(self, guard: Guard, chosen: tuple[str, ...], limit_s: float) -> Outcome:
+        """Runs the tests with the guard taken out, and puts it back. Only the chosen programs, if there are any."""
         place = self.source / guard.file
         original = place.read_text(encoding="utf-8")
         # Both writes give the file a new time: cargo goes by that.
         place.write_text(original.replace(guard.find, guard.replace), encoding="utf-8")
         try:
-            return self.run_tests(guard.name, guard.packages, limit_s)
+            return self.run_tests(guard.name, guard.packages, chosen, limit_s)
         finally:
             place.write_text(original, encoding="utf-8")
 
-    def run_tests(self, name: str, packages: tuple[str, ...], limit_s: float) -> Outcome:
-        """Builds and runs all test programs of some packages, within a limit for each program and for all."""
+    def run_tests(
+        self, name: str, packages: tuple[str, ...], chosen: tuple[str, ...], limit_s: float
+    ) -> Outcome:
+        """Builds and runs the chosen test programs of some packages, or all, within a limit for all together."""
         begun = time.monotonic()
         with (self.logs / f"{name}.log").open("w", encoding="utf-8") as log:
-            programs = self.build(packages, log)
+            programs = self.build(packages, chosen, log)
             if programs is None:
                 return Outcome(compiled=False, seconds=time.monotonic() - begun)
             outcome = Outcome(compiled=True)
@@ -216,10 +233,11 @@
         outcome.seconds = time.monotonic() - begun
         return outcome
 
-    def build(self, packages: tuple[str, ...], log: TextIO) -> list[TestProgram] | None:
-        """Builds the test programs; `None` if that fails."""
-        chosen = [argument for package in packages for argument in ("-p", package)]
-        command = ["cargo", "test", "--locked", "--no-run", "--message-format=json-render-diagnostics", *chosen]
+    def build(self, packages: tuple[str, ...], chosen: tuple[str, ...], log: TextIO) -> list[TestProgram] | None:
+        """Builds the chosen test programs, or all; `None` if that fails."""
+        command = ["cargo", "test", "--locked", "--no-run", "--message-format=json-render-diagnostics"]
+        command += [argument for package in packages for argument in ("-p", package)]
+        command += [argument for program in chosen for argument in ("--test", program)]
         ended = run_limited(command, self.source, self.environment, BUILD_LIMIT_S)
         log.write(ended.errors)
         if ended.code != 0:
@@ -401,9 +419,10 @@
 class Run:
     """Tries all guards, each worker with a scratch copy of its own."""
 
-    def __init__(self, guards: list[Guard], tracked: list[str], limit_s: float) -> None:
+    def __init__(self, guards: list[Guard], tracked: list[str], limit_s: float, named_only: bool) -> None:
         self.guards = guards
         self.tracked = tracked
+        self.chosen = {guard.name: programs_of(guard, tracked) if named_only else () for guard in guards}
         self.limit_s = limit_s
         self.lock = threading.Lock()
         self.outcomes: dict[str, Outcome] = {}
@@ -420,7 +439,9 @@
         first.refresh(self.tracked)
         packages = tuple(sorted({package for guard in self.guards for package in guard.packages}))
         print(f"unchanged: tests of {', '.join(packages)}", flush=True)
-        self.unchanged = first.run_tests("unchanged", packages, self.limit_s * len(packages))
+        programs: set[str] = set().union(*self.chosen.values()) if all(self.chosen.values()) else set()
+        limit_s = self.limit_s * len(packages)
+        self.unchanged = first.run_tests("unchanged", packages, tuple(sorted(programs)), limit_s)
         if not self.unchanged.compiled:
             raise ListError(f"the unchanged code does not compile, see {first.logs / 'unchanged.log'}")
         for name in sorted(self.unchanged.failed) + self.unchanged.broken_targets:
@@ -441,7 +462,7 @@
             copy.refresh(self.tracked)
             while True:
                 guard = self.left.get_nowait()
-                outcome = copy.try_without(guard, self.limit_s)
+                outcome = copy.try_without(guard, self.chosen[guard.name], self.limit_s)
                 with self.lock:
                     self.outcomes[guard.name] = outcome
                     print_verdict(judge(guard, outcome, self.unchanged))
@@ -458,19 +479,43 @@
     parser.add_argument("--area", action="append", metavar="FILE", help="guards of this list only; may be repeated")
     parser.add_argument("--jobs", type=int, default=2, help="guards tried at a time (default 2)")
     parser.add_argument("--limit", type=float, default=DEFAULT_TEST_LIMIT_S, help="seconds for a guard's tests")
+    parser.add_argument(
+        "--named", action="store_true", help="build and run only the test programs that hold the named tests: quicker"
+    )
     parser.add_argument("--markdown", type=Path, metavar="FILE", help="write the table there")
     parser.add_argument("--list", action="store_true", help="print the guards and end")
     parser.add_argument("--check", action="store_true", help="check only that the lists fit the code")
     return parser.parse_args()
 
 
+def chosen_lists(areas: list[str] | None) -> list[Path]:
+    """The lists of some areas, by file name with or without the ending; all lists without areas."""
+    lists = sorted(HERE.glob("*.toml"))
+    if not areas:
+        return lists
+    stems = {Path(area).stem for area in areas}
+    unknown = sorted(stems - {path.stem for path in lists})
+    if unknown:
+        raise ListError(f"no such list: {', '.join(unknown)}")
+    return [path for path in lists if path.stem in stems]
+
+
+def hold_scratch() -> TextIO:
+    """Keeps other runs away from the scratch copies until the file is closed."""
+    SCRATCH.mkdir(parents=True, exist_ok=True)
+    lock = (SCRATCH / "lock").open("w", encoding="utf-8")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        raise ListError(f"another run uses {SCRATCH}") from None
+    return lock
+
+
 def main() -> int:
     """Runs the script; its exit code."""
     arguments = parse_arguments()
     tracked = tracked_files()
-    guards = read_guards(sorted(HERE.glob("*.toml")))
-    if arguments.area:
-        guards = [guard for guard in guards if guard.area in {Path(name).stem for name in arguments.area}]
+    guards = read_guards(chosen_lists(arguments.area))
     if arguments.only:
         unknown = sorted(set(arguments.only) - {guard.name for guard in guards})
         if unknown:
@@ -485,10 +530,14 @@
         raise ListError("\n".join(problems))
     if arguments.check:
         print(f"{len(guards)} guards fit the code")
+        for guard in guards:
+            if not guard.tests:
+                print(f"{guard.area}.toml: {guard.name}: held by no test that the list names")
         return 0
     if not guards:
         raise ListError("there are no guards to try")
-    verdicts = Run(guards, tracked, arguments.limit).run(arguments.jobs)
+    with hold_scratch():
+        verdicts = Run(guards, tracked, arguments.limit, arguments.named).run(arguments.jobs)
     print(f"{sum(verdict.caught for verdict in verdicts)} of {len(verdicts)} guards caught")
     if arguments.markdown:
         arguments.markdown.write_text(as_markdown(verdicts), encoding="utf-8")
