--- a/coordinator/src/core/operator/table.rs
+++ b/coordinator/src/core/operator/table.rs
@@ -118,8 +118,9 @@
     /// term are lost proposals: they are set back to waiting.
     pub fn decided(&mut self, index: u64, term: u64) -> Vec<Ticket> {
         let at_index = |stage| matches!(stage, Stage::Proposed { index: own, .. } if own == index);
-        self.start_over(|stage| at_index(stage) && stage != Stage::Proposed { index, term });
-        self.find(|pending| pending.stage == Stage::Proposed { index, term })
+        let decided = Stage::Proposed { index, term };
+        self.start_over(|stage| at_index(stage) && stage != decided);
+        self.find(|pending| pending.stage == decided)
     }
 
     /// Sets back to waiting what rests on a leadership that has changed.
--- a/coordinator/tests/calls.rs
+++ b/coordinator/tests/calls.rs
@@ -189,3 +189,29 @@
         assert_eq!(group.answer(at, old), Some(&OperatorAnswer::Conflict { current: 3 }));
     }
 }
+
+#[test]
+fn given_a_read_at_a_leader_that_was_replaced_when_its_leadership_ends_then_it_brings_no_old_configuration() {
+    // given: a leader that does not know that another one has taken a change since
+    let (mut group, leader, _) = configured();
+    group.cut_off(leader, true);
+    let others = group.others(leader);
+    assert!(group.run_until(3_000, |group| others.contains(&group.leader())));
+    let next = group.leader();
+    let change = group.replace(next, 1, &configuration(2, "d.example"));
+    group.run(200);
+    assert!(is_done(group.answer(next, change)));
+
+    // when
+    let read = group.operate(leader, OperatorCall::Read);
+    group.run(TICK);
+    assert_eq!(group.answer(leader, read), None);
+    group.cut_off(leader, false);
+    group.run(1_000);
+
+    // then
+    match group.answer(leader, read).expect("it is answered") {
+        OperatorAnswer::Done { body } => assert!(String::from_utf8_lossy(body).contains("d.example")),
+        other => assert_eq!(other, &OperatorAnswer::Unavailable),
+    }
+}
--- a/coordinator/tests/contact.rs
+++ b/coordinator/tests/contact.rs
@@ -6,7 +6,7 @@
 use common::group::Group;
 use shaletrail_coordinator::interface::CallId;
 use shaletrail_protocol::inside::{
-    CoreMessage, OperatorAnswer, OperatorCall, PollReply, PollRequest, Presence,
+    CoreMessage, MembershipMessage, OperatorAnswer, OperatorCall, PollReply, PollRequest, Presence,
 };
 use shaletrail_protocol::outside::ServerState;
 use shaletrail_protocol::Millis;
@@ -133,11 +133,15 @@
     let mut group = configured(3);
     let leader = group.leader();
     let frozen = group.others(leader)[0];
-    group.run(50);
+    let pongs =
+        |message: &CoreMessage| matches!(message, CoreMessage::Membership(MembershipMessage::Pong { .. }));
+    group.hold(move |_, to, message| to == frozen && pongs(message));
+    group.run(250);
+    assert!(group.held().count() >= 2);
     group.freeze(frozen, true);
-    // A poll comes, and a version that it cannot know of, as its links are cut meanwhile.
+    // The answers to its pings reach its sockets, and a poll does. Then its links are cut.
+    group.release();
     let call = poll(&mut group, frozen, 1);
-    group.run(150);
     group.cut_off(frozen, true);
     let change = group.replace(leader, 1, &configuration(2, "b.example"));
     group.run(5_000);
