Send servers elsewhere from a coordinator that has lost touch

A coordinator that was cut off went on acknowledging heartbeats. Its servers stayed with it, while the majority took them to be silent and sent them nothing for as long as the cut lasted. It now keeps what it hears and answers 503, so that they go on to the next node. One that was never in touch since its start acknowledges as before.

--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -51,6 +51,8 @@
     holders: Holders,
     /// Whether a majority of the configuration's voters has answered this node of late.
     in_touch: bool,
+    /// Whether that has ever been so since the start.
+    was_in_touch: bool,
     versions_elsewhere: VersionsElsewhere,
     /// The disk counts as sick until then.
     sick_until: Millis,
@@ -89,6 +91,7 @@
             sharing_times: SharingTimes::new(now),
             holders,
             in_touch: false,
+            was_in_touch: false,
             versions_elsewhere: VersionsElsewhere::default(),
             sick_until: 0,
             next_voter_review: now,
--- a/coordinator/src/core/servers.rs
+++ b/coordinator/src/core/servers.rs
@@ -19,7 +19,10 @@
     ) {
         match self.directory.heartbeat(now, &id, heartbeat).call {
             Some(token) => self.wait_for_majority(call, token),
-            None => actions.push(Action::AnswerServer { call, taken: true }),
+            None => {
+                let taken = !self.has_lost_touch(now);
+                actions.push(Action::AnswerServer { call, taken });
+            }
         }
     }
 
--- a/coordinator/src/core/touch.rs
+++ b/coordinator/src/core/touch.rs
@@ -10,6 +10,7 @@
 use shaletrail_protocol::inside::CoreMessage;
 use shaletrail_protocol::{Millis, NodeId};
 
+use super::shards::CONFIGURATION;
 use super::Core;
 use crate::interface::{Action, Note};
 
@@ -80,11 +81,29 @@
         self.in_touch && !behind
     }
 
+    /// Whether this node was in touch before and is not at this moment, whatever the last event told. Servers are
+    /// then sent to another node, as the others do not hear of them from here. One that has just started takes what
+    /// it hears.
+    pub(super) fn has_lost_touch(&self, now: Millis) -> bool {
+        self.was_in_touch && !self.answers_majority(now)
+    }
+
+    fn configuration_voters(&self) -> Vec<NodeId> {
+        let shard = self.shards.get(CONFIGURATION);
+        shard.map(|shard| shard.replica.voters().members().collect()).unwrap_or_default()
+    }
+
+    fn answers_majority(&self, now: Millis) -> bool {
+        let voters = self.configuration_voters();
+        !voters.is_empty() && self.membership.answers_majority(now, &voters, OUT_OF_TOUCH)
+    }
+
     pub(super) fn update_touch(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let voters: Vec<NodeId> = self.shards.configuration_replica().voters().members().collect();
-        let in_touch = !voters.is_empty() && self.membership.answers_majority(now, &voters, OUT_OF_TOUCH);
+        let voters = self.configuration_voters();
+        let in_touch = self.answers_majority(now);
         if in_touch != self.in_touch {
             self.in_touch = in_touch;
+            self.was_in_touch |= in_touch;
             self.edges.touch_changed(now);
             actions.push(Action::Note(Note::InTouch(in_touch)));
         }
--- a/coordinator/tests/contact.rs
+++ b/coordinator/tests/contact.rs
@@ -468,3 +468,36 @@
     let call = group.deregister(1, "i-another");
     assert_eq!(group.taken(1, call), Some(false));
 }
+
+#[test]
+fn given_a_coordinator_cut_off_when_a_server_speaks_to_it_then_the_server_is_sent_elsewhere_and_stays_known()
+{
+    // given
+    let mut group = configured(3);
+    let cut = group.others(group.leader())[0];
+    let other = group.others(cut)[0];
+    let first = group.heartbeat(cut, "i-1", ServerState::Ready, 1);
+    group.run(200);
+    assert_eq!(group.taken(cut, first), Some(true));
+
+    // when: it goes on to another coordinator wherever it is not acknowledged
+    group.cut_off(cut, true);
+    let mut at = cut;
+    for sequence in 2..20 {
+        let call = group.heartbeat(at, "i-1", ServerState::Ready, sequence);
+        if group.taken(at, call) == Some(false) {
+            at = other;
+            group.heartbeat(at, "i-1", ServerState::Ready, sequence);
+        }
+        group.run(1_000);
+
+        // then: the majority, whose edges go by it, does not take it to be silent
+        let record = group.core(other).directory().record("i-1").expect("it is known");
+        assert_eq!(record.presence, Presence::Ready);
+    }
+    assert_eq!(at, other);
+
+    // and the one that is cut off knows what it was told all the same
+    group.heartbeat(cut, "i-2", ServerState::Ready, 1);
+    assert!(group.core(cut).directory().record("i-2").is_some());
+}
--- a/protocol/src/inside.rs
+++ b/protocol/src/inside.rs
@@ -155,7 +155,7 @@
     pub edge_nodes: Option<Vec<NodeId>>,
     /// Names the list of these nodes: a hash of it.
     pub edge_list: u64,
-    /// This coordinator has lost touch with the majority: ask another.
+    /// This coordinator has lost touch with the majority, or is behind: ask another.
     pub isolated: bool,
 }
 
