--- a/coordinator/tests/contact.rs
+++ b/coordinator/tests/contact.rs
@@ -6,7 +6,7 @@
 use common::group::Group;
 use shaletrail_coordinator::interface::CallId;
 use shaletrail_protocol::inside::{
-    CoreMessage, OperatorAnswer, OperatorCall, PollReply, PollRequest, Presence,
+    CoreMessage, MembershipMessage, OperatorAnswer, OperatorCall, PollReply, PollRequest, Presence,
 };
 use shaletrail_protocol::outside::ServerState;
 use shaletrail_protocol::Millis;
@@ -133,11 +133,15 @@
     let mut group = configured(3);
     let leader = group.leader();
     let frozen = group.others(leader)[0];
-    group.run(50);
+    let pongs =
+        |message: &CoreMessage| matches!(message, CoreMessage::Membership(MembershipMessage::Pong { .. }));
+    group.hold(move |_, to, message| to == frozen && pongs(message));
+    group.run(250);
+    assert!(group.held().count() >= 2);
     group.freeze(frozen, true);
-    // A poll comes, and a version that it cannot know of, as its links are cut meanwhile.
+    // The answers to its pings reach its sockets, and a poll does. Then its links are cut.
+    group.release();
     let call = poll(&mut group, frozen, 1);
-    group.run(150);
     group.cut_off(frozen, true);
     let change = group.replace(leader, 1, &configuration(2, "b.example"));
     group.run(5_000);
@@ -464,3 +468,36 @@
     let call = group.deregister(1, "i-another");
     assert_eq!(group.taken(1, call), Some(false));
 }
+
+#[test]
+fn given_a_coordinator_cut_off_when_a_server_speaks_to_it_then_the_server_is_sent_elsewhere_and_stays_known()
+{
+    // given
+    let mut group = configured(3);
+    let cut = group.others(group.leader())[0];
+    let other = group.others(cut)[0];
+    let first = group.heartbeat(cut, "i-1", ServerState::Ready, 1);
+    group.run(200);
+    assert_eq!(group.taken(cut, first), Some(true));
+
+    // when: it goes on to another coordinator wherever it is not acknowledged
+    group.cut_off(cut, true);
+    let mut at = cut;
+    for sequence in 2..20 {
+        let call = group.heartbeat(at, "i-1", ServerState::Ready, sequence);
+        if group.taken(at, call) == Some(false) {
+            at = other;
+            group.heartbeat(at, "i-1", ServerState::Ready, sequence);
+        }
+        group.run(1_000);
+
+        // then: the majority, whose edges go by it, does not take it to be silent
+        let record = group.core(other).directory().record("i-1").expect("it is known");
+        assert_eq!(record.presence, Presence::Ready);
+    }
+    assert_eq!(at, other);
+
+    // and the one that is cut off knows what it was told all the same
+    group.heartbeat(cut, "i-2", ServerState::Ready, 1);
+    assert!(group.core(cut).directory().record("i-2").is_some());
+}
