--- a/simulation/src/history.rs
+++ b/simulation/src/history.rs
@@ -9,7 +9,7 @@
 mod races;
 mod storms;
 
-pub use losses::is_whole;
+pub use losses::{has_all_voters, is_whole};
 pub use points::Point;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/simulation/src/history/cuts.rs
+++ b/simulation/src/history/cuts.rs
@@ -34,6 +34,9 @@
         if self.world().chance(0.3) {
             self.cut_shortly(&cut_off);
         }
+        if self.world().chance(0.25) {
+            return self.cut_by_and_by();
+        }
         if self.world().chance(0.75) {
             self.cut_for_long(&cut_off);
         } else {
@@ -159,6 +162,46 @@
         self.meet_both_sides(cut_off[0]);
     }
 
+    /// A holder of orders is cut off from one voter, and as soon as another one leads, or after a while, from the answers of
+    /// all, while it is asked for orders all the time.
+    fn cut_by_and_by(&mut self) {
+        let shard = self.draw(1..=2) as u32;
+        let Some(holder) = self.fleet.leader_of(shard) else { return };
+        let others = self.coordinators_but(&[holder]);
+        let Some(one) = self.pick(&others) else { return };
+        self.tell(format!("{holder}, the holder of orders, is cut off from {one}"));
+        let mut cuts = vec![(holder, one), (one, holder)];
+        self.set_cuts(&cuts, true);
+        let lasts = self.draw(800..=3_000);
+        let end = self.fleet.world.now + lasts;
+        let replaced = move |fleet: &Fleet| fleet.leader_of(shard).is_some_and(|leader| leader != holder);
+        while self.fleet.world.now < end && !self.fleet.run_until(30, replaced) {
+            self.ask_for_adapters();
+        }
+        self.tell(format!("{holder} hears nobody any more"));
+        let rest: Vec<Direction> = others.iter().map(|other| (*other, holder)).collect();
+        self.set_cuts(&rest, true);
+        cuts.extend(rest);
+        let lasts = self.draw(3_500..=6_000);
+        let end = self.fleet.world.now + lasts;
+        while self.fleet.world.now < end {
+            self.ask_for_adapters();
+            self.go_on(30);
+        }
+        self.tell(format!("{holder} is joined again"));
+        self.set_cuts(&cuts, false);
+        let after = self.draw(300..=SYNC);
+        self.go_on(after);
+    }
+
+    /// Adapters are asked for, for which orders are needed and done soon.
+    fn ask_for_adapters(&mut self) {
+        for edge in self.fleet.edges() {
+            let adapter = format!("a{}", self.draw(1..=9));
+            self.fleet.ask_model(edge, site::AGAIN, 0, Some(&adapter));
+        }
+    }
+
     /// The operator reaches a machine and the others at once.
     fn meet_both_sides(&mut self, node: NodeId) {
         let others = self.coordinators_but(&[node]);
