--- a/simulation/src/history/cuts.rs
+++ b/simulation/src/history/cuts.rs
@@ -16,6 +16,8 @@
 const ABOUT_A_LEASE: std::ops::RangeInclusive<Millis> = 350..=1_300;
 /// Between two things that happen while a cut lasts.
 const BETWEEN: std::ops::RangeInclusive<Millis> = 30..=450;
+/// After which a configuration that another one has superseded must not be handed out any more.
+const SUPERSEDED_AFTER: Millis = 5_000;
 /// Short cuts in a row, at most.
 const MOST_SHORT: u64 = 6;
 
@@ -34,8 +36,10 @@
         if self.world().chance(0.3) {
             self.cut_shortly(&cut_off);
         }
-        if self.world().chance(0.25) {
-            return self.cut_by_and_by();
+        match self.draw(0..=7) {
+            0 | 1 => return self.cut_by_and_by(),
+            2 | 3 => return self.read_across_election(),
+            _ => {}
         }
         if self.world().chance(0.75) {
             self.cut_for_long(&cut_off);
@@ -139,6 +143,18 @@
         let cuts = self.draw_cuts(cut_off);
         self.set_cuts(&cuts, true);
         let end = self.fleet.world.now + lasts;
+        if lasts > SUPERSEDED_AFTER && self.world().chance(0.6) {
+            // What the cut-off ones know is superseded long before an edge starts that reaches one of them only.
+            let others = self.coordinators_but(cut_off);
+            let other = self.pick(&others);
+            let change = self.bring(other);
+            self.go_on(1_500);
+            if let Some(change) = change {
+                self.await_answer(change, 1_000);
+            }
+            self.go_on(SUPERSEDED_AFTER - 1_500);
+            self.start_edge_anew(cut_off[0], true);
+        }
         while self.fleet.world.now < end {
             let node = self.pick(cut_off).unwrap_or(cut_off[0]);
             self.happen_during(node);
@@ -194,6 +210,43 @@
         self.go_on(after);
     }
 
+    /// The leader is cut off or frozen until another one leads and has acknowledged a change; reads reach it all the while.
+    fn read_across_election(&mut self) {
+        let Some(former) = self.fleet.leader() else { return };
+        let others = self.coordinators_but(&[former]);
+        let freezes = self.world().chance(0.4);
+        self.tell(format!("{former} leads and is cut off, or frozen: {freezes}"));
+        let cuts: Vec<Direction> =
+            others.iter().flat_map(|other| [(former, *other), (*other, former)]).collect();
+        if freezes {
+            self.fleet.freeze(former);
+        } else {
+            self.set_cuts(&cuts, true);
+        }
+        self.fleet.run_until(2_500, |fleet| fleet.leader().is_some_and(|leader| leader != former));
+        let next = self.fleet.leader();
+        let change = self.bring(next);
+        let end = self.fleet.world.now + 900;
+        while self.fleet.world.now < end {
+            self.read_at(former);
+            let pause = self.draw(5..=40);
+            self.fleet.run(pause);
+        }
+        if let Some(change) = change {
+            self.await_answer(change, 1_000);
+        }
+        self.tell(format!("{former} is back"));
+        self.fleet.thaw(former);
+        self.set_cuts(&cuts, false);
+        for _ in 0..3 {
+            self.read_at(former);
+            let pause = self.draw(0..=4);
+            self.fleet.run(pause);
+        }
+        let after = self.draw(300..=SYNC);
+        self.go_on(after);
+    }
+
     /// Adapters are asked for, for which orders are needed and done soon.
     fn ask_for_adapters(&mut self) {
         for edge in self.fleet.edges() {
@@ -227,7 +280,10 @@
             }
             4 => self.read_at(node),
             5 => self.resend_any(),
-            6 => self.start_edge_anew(node),
+            6 => {
+                let only = self.world().chance(0.5);
+                self.start_edge_anew(node, only);
+            }
             7 => self.trouble_edge(),
             8 | 9 => self.change_servers(),
             10 if !self.fleet.is_frozen(node) => {
@@ -247,10 +303,9 @@
     }
 
     /// An edge starts anew, and may reach the machine that is cut off only.
-    fn start_edge_anew(&mut self, node: NodeId) {
+    fn start_edge_anew(&mut self, node: NodeId, only: bool) {
         let edges = self.fleet.edges();
         let Some(edge) = self.pick(&edges) else { return };
-        let only = self.world().chance(0.5);
         self.tell(format!("edge {edge} starts anew, reaches {node} only: {only}"));
         if only {
             let others = self.coordinators_but(&[node]);
--- a/simulation/src/history/losses.rs
+++ b/simulation/src/history/losses.rs
@@ -4,6 +4,7 @@
 
 use super::{Ending, History};
 use crate::coordinator::Coordinator;
+use crate::network::Conditions;
 use crate::site;
 use crate::Fleet;
 
@@ -64,6 +65,11 @@
             }
             let wait = self.draw(STRIKES_WITHIN);
             self.fleet.run(wait);
+            if self.world().chance(0.2) {
+                self.lose_all_and_disks();
+                holds = is_whole;
+                continue;
+            }
             holds = if self.lose_some() { has_all_voters } else { is_whole };
         }
         self.await_repair(is_whole);
@@ -107,6 +113,39 @@
         strikes
     }
 
+    /// All lose power right after a change was acknowledged that some have not heard of, and as many of the others lose their
+    /// disks as may be.
+    fn lose_all_and_disks(&mut self) {
+        let Some(leader) = self.fleet.leader() else { return };
+        let most = self.fleet.options.hosts_lost as usize;
+        let mut others = self.coordinators_but(&[leader]);
+        let late = others.split_off(others.len().saturating_sub(most));
+        for node in &late {
+            self.world().network.set_special((leader, *node), Conditions { delay: 300..=400, loss: 0.0 });
+        }
+        if self.world().chance(0.5) {
+            // The leader's own disk takes longer than that of the node that answers first.
+            self.fleet.set_disk_speed(leader, 60..=150);
+        }
+        let change = self.fleet.replace();
+        self.sent.push(change);
+        self.fleet.run_until(300, |fleet| fleet.world.witness.is_acknowledged(change));
+        let wiped: Vec<NodeId> = if self.world().chance(0.3) { vec![leader] } else { others };
+        let wiped = wiped.into_iter().take(most).collect::<Vec<_>>();
+        self.tell(format!("all lose power, {late:?} have not heard of {change}, {wiped:?} lose their disks"));
+        self.fleet.lose_all(true);
+        for node in wiped {
+            self.fleet.wipe(node);
+        }
+        self.world().network.clear_special();
+        let usual = self.fleet.options.disk.clone();
+        self.fleet.set_disk_speed(leader, usual);
+        let down = self.draw(10..=800);
+        self.fleet.run(down);
+        self.fleet.start_missing();
+        self.fleet.run(300);
+    }
+
     /// As many machines are lost at once as may be. Whether each of them is to be replaced.
     fn lose_some(&mut self) -> bool {
         let most = u64::from(self.fleet.options.hosts_lost);
--- a/simulation/src/history/races.rs
+++ b/simulation/src/history/races.rs
@@ -3,7 +3,8 @@
 
 use shaletrail_protocol::{Millis, NodeId};
 
-use super::{Ending, History, ACKNOWLEDGED_WITHIN};
+use super::{Ending, History, ACKNOWLEDGED_WITHIN, SYNC};
+use crate::fleet::Fleet;
 use crate::network::Conditions;
 
 /// Rounds of a history.
@@ -74,12 +75,57 @@
         }
     }
 
+    /// Reads reach whoever leads next, from the moment of its election on.
+    fn read_at_next_leader(&mut self) {
+        let Some(former) = self.fleet.leader() else { return };
+        self.fleet.run_until(1_500, |fleet| fleet.leader().is_some_and(|leader| leader != former));
+        let Some(leader) = self.fleet.leader() else { return };
+        for _ in 0..3 {
+            self.read_at(leader);
+            let pause = self.draw(0..=2);
+            self.fleet.run(pause);
+        }
+    }
+
+    /// The leader's disk hangs, so that it hands over.
+    fn have_leader_hand_over(&mut self, leader: NodeId) {
+        let now = self.fleet.world.now;
+        self.lost.retain(|_, until| *until > now);
+        if self.lost.is_empty() {
+            self.tell(format!("{leader}'s disk hangs"));
+            self.fleet.set_disk_stalled(leader, true);
+            let until = self.later(Ending::Disk(leader));
+            self.lost.insert(leader, until + SYNC);
+            self.read_at_next_leader();
+        }
+    }
+
+    /// A change is acknowledged of which one node hears late, and the leader is lost at once.
+    fn lose_leader_after_answer(&mut self) {
+        let now = self.fleet.world.now;
+        self.lost.retain(|_, until| *until > now);
+        let Some(leader) = self.fleet.leader().filter(|_| self.lost.is_empty()) else { return };
+        let others = self.coordinators_but(&[leader]);
+        let Some(late) = self.pick(&others) else { return };
+        self.links_well = false;
+        self.world().network.set_special((leader, late), Conditions { delay: 30..=60, loss: 0.0 });
+        self.endings.push((now + 200, Ending::Links));
+        let change = self.fleet.replace();
+        self.sent.push(change);
+        self.await_answer(change, 400);
+        let until = self.take_down(leader, "killed right after an answer", Fleet::kill);
+        self.lost.insert(leader, until + SYNC);
+        self.read_at_next_leader();
+    }
+
     /// Something happens to the leader, or to the links from it.
     fn disturb_race(&mut self) {
         let coordinators = self.fleet.coordinators();
         let Some(leader) = self.fleet.leader() else { return };
-        match self.draw(0..=4) {
+        match self.draw(0..=8) {
             0 | 1 => self.trouble_core(),
+            5..=7 => self.lose_leader_after_answer(),
+            8 => self.have_leader_hand_over(leader),
             2 => self.delay_links(leader, &coordinators),
             3 => {
                 // A node that lags: it hears the leader late.
