--- a/consensus/tests/forgetful.rs
+++ b/consensus/tests/forgetful.rs
@@ -150,6 +150,29 @@
     assert!(!peer.counts && peer.matched < index, "{peer:?}");
 }
 
+#[test]
+fn given_answers_of_the_lost_disk_to_the_last_round_when_they_arrive_late_then_they_do_not_count() {
+    let Scene { mut group, leader, other, wiped } = scene(9);
+    group.filter = Some(Box::new(|_, _, message| !is_readmission(message)));
+    group.wipe(wiped);
+    group.restart(wiped);
+    group.run(500);
+    group.isolate(other);
+    group.isolate(wiped);
+    let (_, index) = group.propose(leader).expect("it leads still");
+    group.run(160);
+    let standing = Standing { boot: 12345, forgetful: false };
+    let round = group.rounds_sent[&leader];
+    let stamp = Stamp { round, sent_at: group.machines[&leader].clock(group.now) };
+    let term = group.term(leader);
+    let answer = Message::HeartbeatAnswer { term, stamp, received: index, matched: index, standing };
+    group.forge(wiped, leader, answer);
+    group.run(50);
+    assert!(!group.judge.is_acknowledged(index));
+    let peer = group.replica(leader).peer(wiped).expect("a voter");
+    assert!(!peer.counts && peer.matched < index, "{peer:?}");
+}
+
 #[test]
 fn given_a_forgetful_voter_that_gets_no_entries_when_the_others_commit_then_it_is_not_readmitted() {
     let Scene { mut group, wiped, .. } = scene(8);
