--- a/coordinator/tests/fleet/mod.rs
+++ b/coordinator/tests/fleet/mod.rs
@@ -42,6 +42,7 @@
     synced: Vec<Stored>,
     pending: VecDeque<Pending>,
     clock_offset: Millis,
+    /// [`Millis::MAX`] once the process was told to end.
     next_tick: Millis,
     /// Slower disks sync within as many milliseconds.
     pub sync_ms: Millis,
@@ -214,9 +215,10 @@
         records.for_each(|record| record.bytes = vec![255; 3]);
     }
 
-    /// The process is told to end; it goes on until [`FAREWELL`] is over.
+    /// The process is told to end. It answers until [`FAREWELL`] is over, and its time does not go on.
     pub fn tell_to_end(&mut self, node: NodeId) {
         self.tell(node, Event::Stopping);
+        self.machine(node).next_tick = Millis::MAX;
     }
 
     /// Cuts a machine off from all others.
