Tests for each guard of the exchange of voters and of new disks

A joint phase that is not committed, a removed leader, late answers of lost disks, a log that cannot be read, a leader that ends or whose disk is sick.

--- a/consensus/tests/replacements.rs
+++ b/consensus/tests/replacements.rs
@@ -3,7 +3,7 @@
 mod group;
 
 use group::{node, Group};
-use shaletrail_consensus::{Message, Payload, Refused};
+use shaletrail_consensus::{Message, Payload, Refused, Stamp, Standing};
 use shaletrail_protocol::{Millis, NodeId};
 
 const LIMIT: Millis = 5000;
@@ -201,3 +201,82 @@
     let refused = group.act(leader, |replica, now| replica.change_voters(now, voters));
     assert_eq!(refused, Some(Err(Refused::ChangePending)));
 }
+
+#[test]
+fn given_a_joint_phase_that_is_not_committed_when_an_earlier_entry_is_then_it_does_not_end() {
+    for seed in SEEDS {
+        let mut scene = Scene::new(seed);
+        scene.group.filter = Some(Box::new(|_, _, message| !brings_voters(message)));
+        let (_, index) = scene.group.propose(scene.leader).expect("it leads");
+        assert_eq!(scene.change(), Ok(()));
+        scene.group.run(100);
+        assert!(scene.group.judge.is_acknowledged(index), "{}", scene.group.describe());
+        assert!(scene.group.replica(scene.leader).voters().is_joint(), "seed {seed}");
+        scene.group.filter = None;
+        scene.await_change();
+        scene.assert_nothing_is_lost();
+    }
+}
+
+fn brings_voters(message: &Message) -> bool {
+    let Message::Append { entries, .. } = message else { return false };
+    entries.iter().any(|entry| matches!(entry.payload, Payload::Voters(_)))
+}
+
+#[test]
+fn given_a_leader_that_is_removed_when_that_is_not_committed_then_it_still_leads() {
+    for seed in SEEDS {
+        let mut scene = Scene::new(seed);
+        let (leader, rest) = (scene.leader, vec![scene.staying, scene.leaving, scene.learner]);
+        scene.group.filter = Some(Box::new(|_, _, message| !ends_a_change(message)));
+        let changed = scene.group.act(leader, |replica, now| replica.change_voters(now, rest));
+        assert_eq!(changed, Some(Ok(())));
+        scene.group.run(100);
+        assert!(!scene.group.replica(leader).voters().contains(leader), "{}", scene.group.describe());
+        assert!(scene.group.replica(leader).is_leader(), "seed {seed}");
+    }
+}
+
+#[test]
+fn given_a_learner_that_was_never_heard_when_the_leader_is_asked_then_it_does_not_count() {
+    let mut scene = Scene::new(1);
+    scene.group.act(scene.leader, |replica, _| replica.add_learner(node(9)));
+    let peer = scene.group.replica(scene.leader).peer(node(9));
+    assert!(peer.is_some_and(|peer| !peer.counts), "{peer:?}");
+}
+
+/// An answer of another disk than the one that runs, which promises all that the leader has.
+fn forge_answer(scene: &mut Scene, standing: Standing, round: u64) {
+    let replica = scene.group.replica(scene.leader);
+    let (term, last) = (replica.term(), replica.last().index);
+    let stamp = Stamp { round, sent_at: scene.group.machines[&scene.leader].clock(scene.group.now) };
+    let answer = Message::HeartbeatAnswer { term, stamp, received: last, matched: last, standing };
+    scene.group.forge(scene.staying, scene.leader, answer);
+    scene.group.run(10);
+}
+
+#[test]
+fn given_a_new_disk_when_a_new_answer_of_the_lost_one_arrives_then_it_does_not_count() {
+    let mut scene = Scene::new(2);
+    scene.group.filter = Some(Box::new(|_, _, message| !matches!(message, Message::Readmit { .. })));
+    scene.group.wipe(scene.staying);
+    scene.group.restart(scene.staying);
+    scene.group.run(500);
+    let newest = scene.group.rounds_sent[&scene.leader] + 10;
+    forge_answer(&mut scene, Standing { boot: 12345, forgetful: false }, newest);
+    let peer = scene.group.replica(scene.leader).peer(scene.staying);
+    assert!(peer.is_some_and(|peer| !peer.counts), "{peer:?}");
+}
+
+#[test]
+fn given_a_readmitted_disk_when_an_old_answer_of_one_before_it_arrives_then_it_still_counts() {
+    let mut scene = Scene::new(3);
+    scene.group.wipe(scene.staying);
+    scene.group.restart(scene.staying);
+    scene.await_readmission(scene.staying);
+    scene.group.run(500);
+    forge_answer(&mut scene, Standing { boot: 12345, forgetful: true }, 1);
+    scene.group.run(500);
+    let peer = scene.group.replica(scene.leader).peer(scene.staying);
+    assert!(peer.is_some_and(|peer| peer.counts), "{peer:?}");
+}
--- a/coordinator/tests/voters.rs
+++ b/coordinator/tests/voters.rs
@@ -7,6 +7,7 @@
 use fleet::{Fleet, FAREWELL};
 use shaletrail_consensus::Message;
 use shaletrail_coordinator::core::shards::CONFIGURATION;
+use shaletrail_coordinator::interface::Event;
 use shaletrail_protocol::inside::CoreMessage;
 use shaletrail_protocol::{Millis, NodeId};
 
@@ -523,3 +524,21 @@
         }
     }
 }
+
+#[test]
+fn given_a_leader_when_it_is_told_to_end_or_its_disk_is_sick_then_another_leads_before_its_lease_is_over() {
+    for seed in SEEDS {
+        for sick in [false, true] {
+            let mut fleet = Fleet::founded(1, seed);
+            let leader = fleet.leader_of(CONFIGURATION).expect("a leader");
+            if sick {
+                fleet.tell(leader, Event::DiskSick { wants_checkpoint: false });
+            } else {
+                fleet.tell_to_end(leader);
+            }
+            fleet.run(200);
+            let next = fleet.leader_of(CONFIGURATION);
+            assert!(next.is_some_and(|next| next != leader), "sick {sick}: {}", fleet.describe());
+        }
+    }
+}
