Ask over the next connection after a surplus answer, not after the pool's own pruning

Cause: the pool closes a resting connection in time anyway, so that the test passed with a garbled answer's connection given back. Ruled out: the judgement of the head as what the test saw. Change: the next request must come over another connection.

--- a/dataplane/tests/answers.rs
+++ b/dataplane/tests/answers.rs
@@ -40,11 +40,14 @@
         let second = upstream.read_request().await;
         upstream.answer(&first, "one").await;
         let answer = client.read_answer().await;
+        client.request("/x/", "t3", "").await;
+        let (_other, third) = server.accept_request().await;
 
         // then
         assert_eq!(second.header("attempt-id"), Some("t2"));
         assert_eq!((answer.status(), answer.body.as_str()), (502, ""));
         assert_eq!(answer.header("server-stamp"), None);
+        assert_eq!(third.header("attempt-id"), Some("t3"));
         upstream.closed().await;
         assert!(!server.has_caller().await);
     });
