--- a/simulation/tests/histories.rs
+++ b/simulation/tests/histories.rs
@@ -40,11 +40,17 @@
     play_all(Mix::servers());
 }
 
-/// Histories of each point where nothing else is asked for.
-const USUAL_OF_A_POINT: u64 = 8;
+/// Histories of a point where nothing else is asked for; more of losses, of which each strikes a few moments only.
+fn usual_of(point: Point) -> u64 {
+    if point == Point::Losses {
+        24
+    } else {
+        8
+    }
+}
 
 fn play_point(point: Point) {
-    for seed in seeds(USUAL_OF_A_POINT) {
+    for seed in seeds(usual_of(point)) {
         // given the seed, when its history is played, then
         History::play_point(point, seed);
     }
--- a/simulation/tests/points.rs
+++ b/simulation/tests/points.rs
@@ -266,3 +266,69 @@
         fleet.check();
     }
 }
+
+#[test]
+fn given_a_change_that_one_of_two_has_not_synced_when_all_lose_power_and_the_other_its_disk_then_nothing_is_lost(
+) {
+    for seed in 1..=4 {
+        for leader_syncs in [false, true] {
+            // given: a change that the third hears late, and a disk that hangs
+            let mut fleet = ready(seed);
+            let leader = fleet.await_leader();
+            let (near, late) = (others(&fleet, leader)[0], others(&fleet, leader)[1]);
+            let (hanging, other) = if leader_syncs { (near, leader) } else { (leader, near) };
+            fleet.world.network.set_special((leader, late), Conditions { delay: 400..=400, loss: 0.0 });
+            fleet.set_disk_stalled(hanging, true);
+            let change = fleet.replace();
+            fleet.run_until(300, |fleet| fleet.world.witness.is_acknowledged(change));
+
+            // when
+            fleet.lose_all(true);
+            fleet.set_disk_stalled(hanging, false);
+            fleet.wipe(other);
+            fleet.world.network.clear_special();
+            fleet.run(500);
+            fleet.start_missing();
+
+            // then
+            let answered = fleet.run_until(6_000, |fleet| fleet.world.witness.outcome(change).is_some());
+            assert!(answered, "{}", fleet.describe());
+            assert_eq!(fleet.read_within(ACKNOWLEDGED_WITHIN), change, "{}", fleet.describe());
+            assert_in_service(&mut fleet);
+            fleet.check();
+        }
+    }
+}
+
+#[test]
+fn given_a_leader_lost_as_it_acknowledges_when_the_next_one_is_read_from_its_first_moment_on_then_no_read_is_old(
+) {
+    for seed in 1..=8 {
+        // given: a change that the others hold, and do not know to be committed
+        let mut fleet = ready(seed);
+        let leader = fleet.await_leader();
+        let rest = others(&fleet, leader);
+        for other in &rest {
+            fleet.world.network.set_special((leader, *other), Conditions { delay: 10..=10, loss: 0.0 });
+        }
+        fleet.replace_within(ACKNOWLEDGED_WITHIN);
+        fleet.lose_power(leader);
+
+        // when: the next one's first entry takes long to be safe
+        for other in &rest {
+            fleet.set_disk_speed(*other, 100..=120);
+        }
+        let next = |fleet: &Fleet| fleet.leader().is_some_and(|next| next != leader);
+        assert!(fleet.run_until(6_000, next), "{}", fleet.describe());
+        let next = fleet.await_leader();
+        for _ in 0..30 {
+            fleet.operator.read(&mut fleet.world, Some(next));
+            fleet.run(4);
+        }
+        fleet.run(1_500);
+
+        // then
+        assert!(!fleet.world.witness.reads.is_empty(), "{}", fleet.describe());
+        fleet.check();
+    }
+}
