--- a/tools/guards/run.py
+++ b/tools/guards/run.py
@@ -434,7 +434,18 @@
             self.left.put(guard)
 
     def run(self, jobs: int) -> list[Verdict]:
-        """Tries the unchanged code first, then each guard; verdicts in the order of the lists."""
+        """Tries each guard; verdicts in the order of the lists."""
+        workers = [threading.Thread(target=self.work, args=(number + 1,), daemon=True) for number in range(jobs)]
+        for worker in workers:
+            worker.start()
+        for worker in workers:
+            worker.join()
+        if self.errors:
+            raise self.errors[0]
+        return [judge(guard, self.outcomes[guard.name], self.unchanged) for guard in self.guards]
+
+    def try_unchanged(self) -> None:
+        """Runs the tests on the unchanged code: what fails there counts for no guard."""
         first = ScratchCopy(1)
         first.refresh(self.tracked)
         packages = tuple(sorted({package for guard in self.guards for package in guard.packages}))
@@ -446,14 +457,6 @@
             raise ListError(f"the unchanged code does not compile, see {first.logs / 'unchanged.log'}")
         for name in sorted(self.unchanged.failed) + self.unchanged.broken_targets:
             print(f"fails without any change, and counts for no guard: {name}", flush=True)
-        workers = [threading.Thread(target=self.work, args=(number + 1,), daemon=True) for number in range(jobs)]
-        for worker in workers:
-            worker.start()
-        for worker in workers:
-            worker.join()
-        if self.errors:
-            raise self.errors[0]
-        return [judge(guard, self.outcomes[guard.name], self.unchanged) for guard in self.guards]
 
     def work(self, number: int) -> None:
         """Takes guards until none is left."""
@@ -482,6 +485,9 @@
     parser.add_argument(
         "--named", action="store_true", help="build and run only the test programs that hold the named tests: quicker"
     )
+    parser.add_argument(
+        "--skip-unchanged", action="store_true", help="do not run the tests on the unchanged code first"
+    )
     parser.add_argument("--markdown", type=Path, metavar="FILE", help="write the table there")
     parser.add_argument("--list", action="store_true", help="print the guards and end")
     parser.add_argument("--check", action="store_true", help="check only that the lists fit the code")
@@ -537,7 +543,10 @@
     if not guards:
         raise ListError("there are no guards to try")
     with hold_scratch():
-        verdicts = Run(guards, tracked, arguments.limit, arguments.named).run(arguments.jobs)
+        run = Run(guards, tracked, arguments.limit, arguments.named)
+        if not arguments.skip_unchanged:
+            run.try_unchanged()
+        verdicts = run.run(arguments.jobs)
     print(f"{sum(verdict.caught for verdict in verdicts)} of {len(verdicts)} guards caught")
     if arguments.markdown:
         arguments.markdown.write_text(as_markdown(verdicts), encoding="utf-8")
