--- a/dataplane/tests/connections.rs
+++ b/dataplane/tests/connections.rs
@@ -33,6 +33,53 @@
     });
 }
 
+#[test]
+fn given_whole_answers_of_all_shapes_when_the_next_request_comes_then_the_connection_is_used_again() {
+    const LONG: usize = 300_000;
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "idempotent")]), &[&server]).await;
+        let mut client = edge.connect().await;
+        client.request("/x/", "t1", "body").await;
+        let (mut upstream, request) = server.accept_request().await;
+
+        // when
+        upstream.answer(&request, "").await;
+        let empty = client.read_answer().await;
+        client.request("/x/", "t2", "body").await;
+        let request = upstream.read_request().await;
+        upstream.answer(&request, &"y".repeat(LONG)).await;
+        let long = client.read_answer().await;
+        client.request("/x/", "t3", &"b".repeat(4096)).await;
+        let request = upstream.read_request().await;
+        upstream.head(&request, 200, "server-stamp: st\r\ntransfer-encoding: chunked\r\n").await;
+        upstream.chunk("three").await;
+        upstream.end_chunks().await;
+        let chunked = client.read_answer().await;
+        client.request("/x/", "t4", "").await;
+        let request = upstream.read_request().await;
+        upstream.head(&request, 404, "content-length: 4\r\n").await;
+        upstream.write("none").await;
+        let failure = client.read_answer().await;
+        client.request("/x/", "t5", "").await;
+        let request = upstream.read_request().await;
+        upstream.stream_head(&request, "st").await;
+        upstream.chunk("id: 1\n\n").await;
+        upstream.end_chunks().await;
+        let stream = client.read_answer().await;
+        client.request("/x/", "t6", "").await;
+        let last = upstream.read_request().await;
+
+        // then
+        assert_eq!((empty.body.len(), long.body.len()), (0, LONG));
+        assert_eq!((chunked.body.as_str(), failure.body.as_str()), ("three", "none"));
+        assert_eq!(stream.body, "id: 1\n\n");
+        assert_eq!(last.header("attempt-id"), Some("t6"));
+        assert!(!server.has_caller().await);
+    });
+}
+
 #[test]
 fn given_a_request_under_way_when_the_client_leaves_then_the_servers_connection_is_closed() {
     run(async {
@@ -51,6 +98,52 @@
     });
 }
 
+#[test]
+fn given_a_request_that_waits_for_a_server_when_its_client_leaves_then_the_server_that_comes_does_not_get_it()
+{
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "idempotent")]), &[]).await;
+        let (mut leaving, mut staying) = (edge.connect().await, edge.connect().await);
+        leaving.request("/x/", "t1", "").await;
+        staying.request("/x/", "t2", "").await;
+
+        // when
+        drop(leaving);
+        // By its answer the edge has seen the end of the other connection.
+        edge.readiness_status().await;
+        edge.coordinator.publish_servers(vec![server.record()]);
+        let (mut upstream, request) = server.accept_request().await;
+        upstream.answer(&request, "two").await;
+        let answer = staying.read_answer().await;
+
+        // then
+        assert_eq!((request.header("attempt-id"), answer.body.as_str()), (Some("t2"), "two"));
+        assert!(!server.has_caller().await);
+    });
+}
+
+#[test]
+fn given_a_request_whose_body_breaks_off_when_its_client_leaves_then_no_server_gets_it() {
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "idempotent")]), &[&server]).await;
+        let mut client = edge.connect().await;
+
+        // when
+        let head = "POST /x/ HTTP/1.1\r\nhost: a.example\r\nattempt-id: t1\r\ncontent-length: 9\r\n\r\n";
+        client.write(&format!("{head}part")).await;
+        edge.readiness_status().await;
+        drop(client);
+        edge.readiness_status().await;
+
+        // then
+        assert!(!server.has_caller().await);
+    });
+}
+
 #[test]
 fn given_a_second_answer_nobody_asked_for_when_it_comes_late_then_its_connection_is_not_used_again() {
     run(async {
