--- a/coordinator/src/core/polls.rs
+++ b/coordinator/src/core/polls.rs
@@ -1,58 +1,77 @@
-//! Polls of data-plane nodes that wait for news.
-
-use std::collections::BTreeMap;
-
-use shaletrail_protocol::inside::DirectoryCursor;
-use shaletrail_protocol::{Millis, NodeId};
-
-use crate::interface::CallId;
-
-/// Polls that may wait at once.
-const MOST_POLLS: usize = 2_048;
-/// The longest time for which a poll is held, whatever it asks for.
-const LONGEST_HOLD: Millis = 10_000;
-
-/// A poll that waits.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Waiting {
-    /// Whose.
-    pub edge: NodeId,
-    /// The configuration in force there.
-    pub config_version: u64,
-    /// What it knows of the directory.
-    pub cursor: DirectoryCursor,
-    /// The list of edges that it knows.
-    pub edge_list: u64,
-    /// When it is answered even without news.
-    pub due: Millis,
-}
+//! Long polls of data-plane nodes: each is held until there is news, and answered by what this node knows.
 
-/// All polls that wait.
-#[derive(Debug, Default)]
-pub struct Polls {
-    waiting: BTreeMap<CallId, Waiting>,
-}
+mod table;
+
+use shaletrail_protocol::inside::{EdgeIdentity, PollReply, PollRequest};
+use shaletrail_protocol::Millis;
+
+use super::demand;
+use super::Core;
+use crate::interface::{Action, CallId};
+
+pub use table::{HeldPoll, HeldPolls};
 
-impl Polls {
-    /// Takes a poll in; false if too many wait.
-    pub fn add(&mut self, now: Millis, call: CallId, mut poll: Waiting) -> bool {
-        if self.waiting.len() >= MOST_POLLS {
-            return false;
+impl Core {
+    pub(super) fn poll(&mut self, now: Millis, call: CallId, edge: EdgeIdentity, request: PollRequest) {
+        self.edges.polled(edge.node, now);
+        self.gather(edge.node, request.demand, request.observed);
+        let due = now + Millis::from(request.hold_ms);
+        let poll = HeldPoll {
+            edge: edge.node,
+            config_version: request.config_version,
+            cursor: request.cursor,
+            edge_list: request.edge_list,
+            due,
+        };
+        self.polls.add(now, call, poll);
+    }
+
+    pub(super) fn answer_polls(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let version = self.configuration_version();
+        let cursor = self.directory.cursor();
+        let due = |poll: &HeldPoll| {
+            poll.due <= now
+                || poll.config_version < version
+                || poll.cursor != cursor
+                || !self.may_inform(now, poll.config_version)
+        };
+        for call in self.polls.find(due) {
+            let Some(poll) = self.polls.remove(call) else { continue };
+            let reply = Box::new(self.reply_to(now, &poll));
+            actions.push(Action::AnswerPoll { call, reply });
         }
-        poll.due = poll.due.min(now + LONGEST_HOLD);
-        self.waiting.insert(call, poll);
-        true
     }
 
-    /// Its caller has left.
-    pub fn remove(&mut self, call: CallId) {
-        self.waiting.remove(&call);
+    fn reply_to(&self, now: Millis, poll: &HeldPoll) -> PollReply {
+        if !self.may_inform(now, poll.config_version) {
+            return self.turn_away(poll);
+        }
+        let news = self.directory.since(poll.cursor);
+        let edges = self.edges.list();
+        let edge_list = demand::list_name(&edges);
+        PollReply {
+            config: self.shards.configuration().news_since(poll.config_version),
+            servers: news.records,
+            // A young node has not heard of all servers: what it doesn't know may be there all the same.
+            whole: news.whole && !self.directory.is_young(now),
+            cursor: news.cursor,
+            coordinators: self.coordinators(),
+            edges: self.edges.sharing(now),
+            edge_nodes: (edge_list != poll.edge_list).then_some(edges),
+            edge_list,
+            isolated: false,
+        }
     }
 
-    /// Takes out the polls for which something holds.
-    pub fn take(&mut self, holds: impl Fn(&Waiting) -> bool) -> Vec<(CallId, Waiting)> {
-        let calls: Vec<CallId> =
-            self.waiting.iter().filter(|(_, poll)| holds(poll)).map(|(call, _)| *call).collect();
-        calls.into_iter().filter_map(|call| Some((call, self.waiting.remove(&call)?))).collect()
+    /// What this node knows may be out of date: the edge asks another, and keeps what it has. That holds for one
+    /// that has just started and has nothing as well: without a configuration it refuses all requests for a
+    /// moment, while with an old one it would go by routes that are no longer in force.
+    fn turn_away(&self, poll: &HeldPoll) -> PollReply {
+        PollReply {
+            cursor: poll.cursor,
+            coordinators: self.coordinators(),
+            isolated: true,
+            ..PollReply::default()
+        }
     }
 }
--- a/coordinator/tests/orders.rs
+++ b/coordinator/tests/orders.rs
@@ -165,7 +165,7 @@
 #[test]
 fn given_two_starts_of_a_process_when_calls_come_then_no_ticket_is_used_twice() {
     let tickets = |incarnation: u64| {
-        let mut calls = OperatorCalls::new(Incarnation(incarnation));
+        let mut calls = OperatorCalls::of_start(Incarnation(incarnation));
         let add = |number| calls.add(0, Caller::Here(CallId(number)), OperatorCall::Read);
         (0..50).filter_map(add).collect::<Vec<_>>()
     };
--- a/coordinator/tests/parts.rs
+++ b/coordinator/tests/parts.rs
@@ -5,7 +5,7 @@
 use common::node;
 use shaletrail_coordinator::core::demand::{list_name, Edges, Gathered};
 use shaletrail_coordinator::core::operator::{Caller, OperatorCalls, Stage};
-use shaletrail_coordinator::core::polls::{Polls, Waiting};
+use shaletrail_coordinator::core::polls::{HeldPoll, HeldPolls};
 use shaletrail_coordinator::core::service_state::{Holder, ServiceState};
 use shaletrail_coordinator::core::shards::{shard_of, CONFIGURATION, SERVICE_SHARDS};
 use shaletrail_coordinator::core::voters::{group_size, wanted, Candidate};
@@ -79,7 +79,7 @@
 #[test]
 fn given_a_call_with_a_large_body_when_it_waits_then_it_has_more_time() {
     // given
-    let mut calls = OperatorCalls::new(Incarnation(1));
+    let mut calls = OperatorCalls::of_start(Incarnation(1));
     let change = |bytes: usize| OperatorCall::Change { whole: true, base: 0, body: vec![b' '; bytes] };
 
     // when
@@ -94,7 +94,7 @@
 #[test]
 fn given_calls_at_a_leader_when_leadership_changes_then_only_what_rests_on_it_starts_over() {
     // given
-    let mut calls = OperatorCalls::new(Incarnation(1));
+    let mut calls = OperatorCalls::of_start(Incarnation(1));
     let mut add = |stage| {
         let ticket = calls.add(0, Caller::Here(CallId(1)), OperatorCall::Read).expect("there is room");
         calls.get_mut(ticket).expect("it waits").stage = stage;
@@ -113,10 +113,54 @@
     assert!(calls.remove(proposed).is_none());
 }
 
+#[test]
+fn given_proposals_when_an_entry_of_another_term_takes_their_index_then_only_that_of_the_same_term_is_decided(
+) {
+    // given
+    let mut calls = OperatorCalls::default();
+    let mut propose = |index, term| {
+        let ticket = calls.add(0, Caller::Here(CallId(1)), OperatorCall::Read).expect("there is room");
+        calls.get_mut(ticket).expect("it waits").stage = Stage::Proposed { index, term };
+        ticket
+    };
+    let (other_term, same, other_index) = (propose(7, 2), propose(7, 3), propose(8, 3));
+
+    // when, then
+    assert_eq!(calls.decided(7, 3), vec![same]);
+    assert_eq!(calls.find(|pending| pending.stage == Stage::Waiting), vec![other_term]);
+    let stage = calls.get_mut(other_index).expect("it waits").stage;
+    assert_eq!(stage, Stage::Proposed { index: 8, term: 3 });
+}
+
+#[test]
+fn given_two_starts_of_a_node_when_they_name_calls_then_no_name_is_given_twice() {
+    let names = |incarnation| {
+        let mut calls = OperatorCalls::of_start(Incarnation(incarnation));
+        let mut add = || calls.add(0, Caller::Here(CallId(1)), OperatorCall::Read).expect("there is room");
+        [add(), add(), add()]
+    };
+    let (first, second) = (names(70), names(71));
+    assert!(first.iter().all(|name| !second.contains(name)), "{first:?} {second:?}");
+}
+
+#[test]
+fn given_more_polls_than_may_wait_when_another_comes_then_it_is_not_taken_in() {
+    let mut polls = HeldPolls::default();
+    let poll = HeldPoll {
+        edge: node(100),
+        config_version: 0,
+        cursor: DirectoryCursor::default(),
+        edge_list: 0,
+        due: 100,
+    };
+    assert!((0..2_048).all(|call| polls.add(0, CallId(call), poll.clone())));
+    assert!(!polls.add(0, CallId(2_048), poll));
+}
+
 #[test]
 fn given_a_poll_when_it_asks_to_be_held_for_an_hour_then_it_is_held_for_ten_seconds() {
-    let mut polls = Polls::default();
-    let waiting = Waiting {
+    let mut polls = HeldPolls::default();
+    let waiting = HeldPoll {
         edge: node(100),
         config_version: 0,
         cursor: DirectoryCursor::default(),
