--- a/tools/guards/run.py
+++ b/tools/guards/run.py
@@ -62,6 +62,11 @@
     area: str
     """Name of the list, without its ending."""
 
+    @property
+    def label(self) -> str:
+        """Area and name: unique over all lists."""
+        return f"{self.area}/{self.name}"
+
 
 @dataclass
 class Outcome:
@@ -96,9 +101,9 @@
     for path in lists:
         entries = tomllib.loads(path.read_text(encoding="utf-8")).get("guard", [])
         guards += [read_guard(entry, path) for entry in entries]
-    names = [guard.name for guard in guards]
-    for name in sorted({name for name in names if names.count(name) > 1}):
-        raise ListError(f"{name}: stands in the lists more than once")
+    labels = [guard.label for guard in guards]
+    for label in sorted({label for label in labels if labels.count(label) > 1}):
+        raise ListError(f"{label}: stands in its list more than once")
     return guards
 
 
@@ -143,8 +148,8 @@
     problems = []
     for guard in guards:
         if not guard.packages:
-            problems.append(f"{guard.area}.toml: {guard.name}: `packages` names none")
-        label = f"{guard.area}.toml: {guard.name}"
+            problems.append(f"{guard.label}: `packages` names none")
+        label = guard.label
         count = sources.get(guard.file, "").count(guard.find)
         if guard.file not in sources:
             problems.append(f"{label}: {guard.file} is no source of the repository")
@@ -213,7 +218,7 @@
         # Both writes give the file a new time: cargo goes by that.
         place.write_text(original.replace(guard.find, guard.replace), encoding="utf-8")
         try:
-            return self.run_tests(guard.name, guard.packages, chosen, limit_s)
+            return self.run_tests(guard.label.replace("/", "."), guard.packages, chosen, limit_s)
         finally:
             place.write_text(original, encoding="utf-8")
 
@@ -392,7 +397,7 @@
     for verdict in verdicts:
         guard = verdict.guard
         mark = "*" if guard.state else ""
-        cells = [f"`{guard.name}`{mark}", guard.page, failures_as_text(verdict, "`", "<br>"), verdict.text]
+        cells = [f"`{guard.label}`{mark}", guard.page, failures_as_text(verdict, "`", "<br>"), verdict.text]
         lines.append("| " + " | ".join(cell.replace("|", "\\|") for cell in cells) + " |")
     return "\n".join(lines) + "\n"
 
@@ -408,7 +413,7 @@
 
 def print_verdict(verdict: Verdict) -> None:
     """Tells of one guard as soon as it has been tried."""
-    print(f"{verdict.guard.name}: {verdict.text} ({verdict.seconds:.0f} s)", flush=True)
+    print(f"{verdict.guard.label}: {verdict.text} ({verdict.seconds:.0f} s)", flush=True)
     print(f"    {verdict.guard.page}")
     print(f"    failed: {failures_as_text(verdict, '', ', ')}", flush=True)
 
@@ -422,7 +427,7 @@
     def __init__(self, guards: list[Guard], tracked: list[str], limit_s: float, named_only: bool) -> None:
         self.guards = guards
         self.tracked = tracked
-        self.chosen = {guard.name: programs_of(guard, tracked) if named_only else () for guard in guards}
+        self.chosen = {guard.label: programs_of(guard, tracked) if named_only else () for guard in guards}
         self.limit_s = limit_s
         self.lock = threading.Lock()
         self.outcomes: dict[str, Outcome] = {}
@@ -442,7 +447,7 @@
             worker.join()
         if self.errors:
             raise self.errors[0]
-        return [judge(guard, self.outcomes[guard.name], self.unchanged) for guard in self.guards]
+        return [judge(guard, self.outcomes[guard.label], self.unchanged) for guard in self.guards]
 
     def try_unchanged(self) -> None:
         """Runs the tests on the unchanged code: what fails there counts for no guard."""
@@ -465,9 +470,9 @@
             copy.refresh(self.tracked)
             while True:
                 guard = self.left.get_nowait()
-                outcome = copy.try_without(guard, self.chosen[guard.name], self.limit_s)
+                outcome = copy.try_without(guard, self.chosen[guard.label], self.limit_s)
                 with self.lock:
-                    self.outcomes[guard.name] = outcome
+                    self.outcomes[guard.label] = outcome
                     print_verdict(judge(guard, outcome, self.unchanged))
         except queue.Empty:
             return
@@ -529,7 +534,7 @@
         guards = [guard for guard in guards if guard.name in arguments.only]
     if arguments.list:
         for guard in guards:
-            print(f"{guard.name}\t{guard.area}\t{guard.file}\t{guard.page}")
+            print(f"{guard.label}\t{guard.file}\t{guard.page}")
         return 0
     problems = check_guards(guards, tracked)
     if problems:
@@ -538,7 +543,7 @@
         print(f"{len(guards)} guards fit the code")
         for guard in guards:
             if not guard.tests:
-                print(f"{guard.area}.toml: {guard.name}: held by no test that the list names")
+                print(f"{guard.label}: held by no test that the list names")
         return 0
     if not guards:
         raise ListError("there are no guards to try")
