--- a/consensus/tests/aimed.rs
+++ b/consensus/tests/aimed.rs
@@ -130,7 +130,10 @@
     group.cuts.clear();
     group.partition(&[leader], &[candidate]);
     run_up_to(group, 300);
-    ask_all(group);
+    if coin(group) {
+        // With newer entries the voter would not vote for the candidate anyway.
+        ask_all(group);
+    }
     run_up_to(group, 100);
     match draw(group, 3) {
         0 | 1 => {
