--- a/simulation/src/history.rs
+++ b/simulation/src/history.rs
@@ -305,6 +305,7 @@
             Ending::Server(node) => self.start_server(node),
             Ending::Links => {
                 self.links_well = true;
+                self.calm_since = None;
                 self.world().network.set_conditions(Conditions::default());
                 self.world().network.clear_special();
             }
--- a/simulation/src/history/losses.rs
+++ b/simulation/src/history/losses.rs
@@ -53,30 +53,32 @@
 impl History {
     pub(super) fn play_losses(&mut self) {
         let losses = self.draw(LOSSES);
-        let mut holds: fn(&Fleet) -> bool = is_whole;
+        let mut replaced = false;
         for _ in 0..losses {
-            self.await_repair(holds);
+            self.await_repair(replaced);
             // A change that is on its way, or was just acknowledged.
             let change = self.bring(None);
             let wait = self.world().chance(0.5);
             if let Some(change) = change.filter(|_| wait) {
                 self.await_answer(change, 500);
-                self.await_repair(holds);
+                self.await_repair(replaced);
             }
             let wait = self.draw(STRIKES_WITHIN);
             self.fleet.run(wait);
             if self.world().chance(0.2) {
                 self.lose_all_and_disks();
-                holds = is_whole;
+                replaced = false;
                 continue;
             }
-            holds = if self.lose_some() { has_all_voters } else { is_whole };
+            replaced = self.lose_some();
         }
-        self.await_repair(is_whole);
+        self.await_repair(false);
     }
 
-    /// Waits until the cores count themselves as repaired, while changes come.
-    fn await_repair(&mut self, mut holds: fn(&Fleet) -> bool) {
+    /// Waits until the cores count themselves as repaired, while changes come. Where all that was lost is to be replaced, until
+    /// the replacements vote.
+    fn await_repair(&mut self, replaced: bool) {
+        let mut holds: fn(&Fleet) -> bool = if replaced { has_all_voters } else { is_whole };
         let end = self.fleet.world.now + REPAIRED_WITHIN;
         loop {
             let step = self.draw(20..=250);
@@ -89,7 +91,7 @@
                 let node = self.pick(&coordinators);
                 self.bring(node);
             }
-            if self.strike_newcomer() {
+            if replaced && self.strike_newcomer() {
                 holds = is_whole;
             }
             assert!(self.fleet.world.now < end, "not repaired in time\n{}", self.fleet.describe());
--- a/simulation/src/history/races.rs
+++ b/simulation/src/history/races.rs
@@ -43,6 +43,7 @@
     fn race(&mut self) {
         let lost = [0.0, 0.4, 0.9];
         self.fleet.operator.lost_answers = self.pick(&lost).unwrap_or_default();
+        self.calm_since = None;
         let one = self.fleet.write();
         let other = if self.world().chance(0.25) { one } else { self.fleet.write() };
         let third = if self.world().chance(0.3) { self.fleet.write() } else { other };
