--- a/tools/guards/run.py
+++ b/tools/guards/run.py
@@ -382,14 +382,14 @@
     return Verdict(guard, tuple(named + others), tuple(broken), text, text == "caught", outcome.seconds)
 
 
-def as_markdown(verdicts: list[Verdict]) -> str:
+def as_markdown(verdicts: list[Verdict], chosen: int) -> str:
     """The table for the page."""
     caught = sum(verdict.caught for verdict in verdicts)
     lines = [
         "# Guards taken out",
         "",
-        f"`tools/guards/run.py` took out {len(verdicts)} guards, one at a time; {caught} were caught by all tests that"
-        " their lists name. Guards marked with * concern the safety of state.",
+        f"`tools/guards/run.py` took out {len(verdicts)} of {chosen} guards, one at a time; {caught} were caught by all"
+        " tests that their lists name. Guards marked with * concern the safety of state.",
         "",
         "| guard | rules out | tests that failed without it | verdict |",
         "| --- | --- | --- | --- |",
@@ -424,7 +424,10 @@
 class Run:
     """Tries all guards, each worker with a scratch copy of its own."""
 
-    def __init__(self, guards: list[Guard], tracked: list[str], limit_s: float, named_only: bool) -> None:
+    def __init__(
+        self, guards: list[Guard], tracked: list[str], limit_s: float, named_only: bool, markdown: Path | None
+    ) -> None:
+        self.markdown = markdown
         self.guards = guards
         self.tracked = tracked
         self.chosen = {guard.label: programs_of(guard, tracked) if named_only else () for guard in guards}
@@ -447,7 +450,12 @@
             worker.join()
         if self.errors:
             raise self.errors[0]
-        return [judge(guard, self.outcomes[guard.label], self.unchanged) for guard in self.guards]
+        return self.verdicts()
+
+    def verdicts(self) -> list[Verdict]:
+        """Verdicts of the guards tried so far, in the order of the lists."""
+        tried = [guard for guard in self.guards if guard.label in self.outcomes]
+        return [judge(guard, self.outcomes[guard.label], self.unchanged) for guard in tried]
 
     def try_unchanged(self) -> None:
         """Runs the tests on the unchanged code: what fails there counts for no guard."""
@@ -474,6 +482,9 @@
                 with self.lock:
                     self.outcomes[guard.label] = outcome
                     print_verdict(judge(guard, outcome, self.unchanged))
+                    # As it stands, so that a run which is broken off leaves what it found.
+                    if self.markdown:
+                        self.markdown.write_text(as_markdown(self.verdicts(), len(self.guards)), encoding="utf-8")
         except queue.Empty:
             return
         except BaseException as error:  # handed to the thread that waits
@@ -548,13 +559,11 @@
     if not guards:
         raise ListError("there are no guards to try")
     with hold_scratch():
-        run = Run(guards, tracked, arguments.limit, arguments.named)
+        run = Run(guards, tracked, arguments.limit, arguments.named, arguments.markdown)
         if not arguments.skip_unchanged:
             run.try_unchanged()
         verdicts = run.run(arguments.jobs)
     print(f"{sum(verdict.caught for verdict in verdicts)} of {len(verdicts)} guards caught")
-    if arguments.markdown:
-        arguments.markdown.write_text(as_markdown(verdicts), encoding="utf-8")
     return 0 if all(verdict.caught for verdict in verdicts) else 1
 
 
