Let the operator of the in-memory fleet move on to another coordinator after a failure

Ruled out: a fault of the coordinators (the new leader got no call at all). The operators' callers move on to another node after a failure; so does this one now. The test is as it was.

--- a/simulation/src/operator.rs
+++ b/simulation/src/operator.rs
@@ -34,6 +34,8 @@
     only: Option<NodeId>,
     /// Who is called with the first try.
     first: Option<NodeId>,
+    /// Who was called with the last try: the next one goes to another.
+    last: Option<NodeId>,
 }
 
 /// A change that was sent, or is to be sent again.
@@ -145,7 +147,8 @@
         first: Option<NodeId>,
     ) -> OperatorCallId {
         let id = world.number();
-        let pending = Pending { call, change, begun: world.now, tries: 0, waits_for: None, only, first };
+        let pending =
+            Pending { call, change, begun: world.now, tries: 0, waits_for: None, only, first, last: None };
         self.pending.insert(id, pending);
         world.wake(site::operator(), world.now, Timer::OperatorAgain(id));
         id
@@ -184,14 +187,18 @@
         let Some(pending) = self.pending.get_mut(&id).filter(|pending| pending.waits_for.is_none()) else {
             return;
         };
-        let last = (coordinators.len() as u64).saturating_sub(1);
-        let index = world.between(0..=last) as usize;
+        let others: Vec<NodeId> =
+            coordinators.iter().copied().filter(|node| Some(*node) != pending.last).collect();
+        let candidates = if others.is_empty() { coordinators } else { &others };
+        let last_index = (candidates.len() as u64).saturating_sub(1);
+        let index = world.between(0..=last_index) as usize;
         let first = pending.first.take();
-        let Some(to) = pending.only.or(first).or_else(|| coordinators.get(index).copied()) else {
+        let Some(to) = pending.only.or(first).or_else(|| candidates.get(index).copied()) else {
             return world.wake(site::operator(), world.now + PATIENCE, Timer::OperatorAgain(id));
         };
         let number = world.number();
         pending.tries += 1;
+        pending.last = Some(to);
         pending.waits_for = Some(number);
         let call = Call::Operator(pending.call.clone());
         world.send(site::operator(), to, Message::Call { number, call });
