--- a/consensus/tests/aimed.rs
+++ b/consensus/tests/aimed.rs
@@ -344,6 +344,50 @@
     });
 }
 
+#[test]
+fn given_a_leader_that_leads_again_when_answers_of_its_former_term_come_late_then_it_confirms_no_read() {
+    play_all(72_000, |seed| {
+        let mut group = Group::founded(3, seed);
+        for _ in 0..4 {
+            lead_again(&mut group);
+            // It is cut off, and another leads.
+            let former = group.elect_now();
+            group.isolate(former);
+            group.run_until(990, |group| group.leader().is_some_and(|leader| leader != former));
+            run_up_to(&mut group, 20);
+            for _ in 0..6 {
+                ask_all(&mut group);
+                for _ in 0..6 {
+                    group.replay_one();
+                }
+                group.run(10);
+            }
+        }
+        group
+    });
+}
+
+/// A leader hands over and leads again soon; only the answers of its former term are kept. Its rounds begin anew.
+fn lead_again(group: &mut Group) {
+    let leader = mend(group);
+    group.forget_kept();
+    group.keeps = |message| matches!(message, Message::HeartbeatAnswer { .. } | Message::AppendAnswer { .. });
+    for _ in 0..10 {
+        ask_all(group);
+        run_up_to(group, 30);
+    }
+    group.keeps = |_| false;
+    for _ in 0..20 {
+        if let Some(present) = group.leader() {
+            group.act(present, |replica, now| replica.hand_over(now));
+        }
+        if group.run_until(60, |group| group.leader() == Some(leader)) {
+            break;
+        }
+    }
+    run_up_to(group, 30);
+}
+
 #[test]
 fn given_a_leader_that_stops_behind_its_heartbeat_when_it_goes_on_then_it_confirms_no_read_by_the_answers() {
     play_all(75_000, |seed| {
