Let the late answer of a lost disk name a round that was sent

The test had lost its point when answers to rounds never sent were left out: it named a later round than any, and passed with the guard of the standing taken out. It now names the last round sent, which the voter has not answered.

--- a/consensus/tests/replacements.rs
+++ b/consensus/tests/replacements.rs
@@ -262,7 +262,10 @@
     scene.group.wipe(scene.staying);
     scene.group.restart(scene.staying);
     scene.group.run(500);
-    let newest = scene.group.rounds_sent[&scene.leader] + 10;
+    // Newer than all that was heard, but of a round that was sent: others do not count anyway.
+    scene.group.isolate(scene.staying);
+    scene.group.run(200);
+    let newest = scene.group.rounds_sent[&scene.leader];
     forge_answer(&mut scene, Standing { boot: 12345, forgetful: false }, newest);
     let peer = scene.group.replica(scene.leader).peer(scene.staying);
     assert!(peer.is_some_and(|peer| !peer.counts), "{peer:?}");
