Count all requests for a service against its repeats in the in-memory checks

The operators' rule counts the requests that clients sent on a route, whether they arrived or not; edges go by that too. A test holds both sides of the limit.

--- a/simulation/tests/checks.rs
+++ b/simulation/tests/checks.rs
@@ -355,6 +355,31 @@
     assert_eq!(found(&repeated(4_000)), vec![]);
 }
 
+#[test]
+fn given_requests_that_never_reached_a_server_when_repeats_are_counted_then_they_count_for_their_service() {
+    // given: ten requests, one sent four times again, and others that were refused by the edge
+    let refused = |number: u64, model: Option<String>| {
+        let mut witness = Witness::default();
+        for request in 0..10 {
+            witness.asked(0, request, &Ask::default(), false, place(0));
+            witness.written(0, request, site::WEB);
+        }
+        for repeat in 1..=4 {
+            witness.written(repeat * 100, 1, site::WEB);
+        }
+        for request in 10..10 + number {
+            let ask = Ask { host: site::HOST.to_owned(), model: model.clone(), ..Ask::default() };
+            witness.asked(0, request, &ask, false, place(0));
+        }
+        witness
+    };
+
+    // when, then: one in ten and two more are allowed
+    assert_eq!(found(&refused(10, None)), vec![]);
+    assert_ne!(found(&refused(9, None)), vec![]);
+    assert_ne!(found(&refused(10, Some(site::model_name(0)))), vec![]);
+}
+
 #[test]
 fn given_calm_when_something_is_not_acknowledged_then_it_is_found() {
     let mut witness = Witness::default();
