--- a/coordinator/src/core/shards.rs
+++ b/coordinator/src/core/shards.rs
@@ -65,14 +65,14 @@
     }
 }
 
-/// Whether a shard's machine can be restored from a record, where that is a snapshot. The founding's is empty.
-fn is_readable(shard: u32, record: &Record) -> bool {
-    match record {
-        Record::Snapshot(snapshot) => {
-            snapshot.state.is_empty() || Machine::new(shard).restore(&snapshot.state)
-        }
-        _ => true,
-    }
+/// Whether a shard's machine can be restored from the newest snapshot among its records, which replaces all before it.
+/// The founding's is empty.
+fn is_state_readable(shard: u32, records: &[Record]) -> bool {
+    let newest = records.iter().rev().find_map(|record| match record {
+        Record::Snapshot(snapshot) => Some(&snapshot.state),
+        _ => None,
+    });
+    newest.is_none_or(|state| state.is_empty() || Machine::new(shard).restore(state))
 }
 
 /// Something a shard has done.
@@ -152,17 +152,18 @@
         for Stored { stream, bytes, .. } in stored {
             let Some(of_shard) = records.get_mut(stream as usize) else { continue };
             match Record::decode(&bytes) {
-                Ok(record) if is_readable(stream, &record) => of_shard.push(record),
-                _ => unreadable[stream as usize] = true,
+                Ok(record) => of_shard.push(record),
+                Err(_) => unreadable[stream as usize] = true,
             }
         }
         let mut shards = Vec::new();
         for (shard, mut of_shard) in records.into_iter().enumerate() {
-            if unreadable[shard] {
+            let is_unreadable = unreadable[shard] || !is_state_readable(shard as u32, &of_shard);
+            if is_unreadable {
                 of_shard.clear();
                 actions.push(Action::Note(Note::Unreadable { shard: shard as u32 }));
             }
-            let forgetful = !options.bootstrap || unreadable[shard];
+            let forgetful = !options.bootstrap || is_unreadable;
             let seed = options.seed.wrapping_add(shard as u64);
             let replica_options = Options { forgetful, ..Options::new(options.node, seed) };
             let mut replica = Replica::new(replica_options, of_shard, now);
