Look at touch and versions once an event, and send to all others by one function

Cause: each event listed the configuration's voters twice and compared the versions of other coordinators twice; the loop that sends to all others stood in two places; whether a version is new was kept beside what can tell it; HeldPolls::take was left behind by the split, used by a test alone. Touch takes the voters listed once, versions are compared before polls are answered, the only place that goes by them. The test of polls asserts the same by find and remove.

--- a/coordinator/src/core/demand.rs
+++ b/coordinator/src/core/demand.rs
@@ -65,10 +65,6 @@
         if edges.is_empty() && reports.is_empty() {
             return;
         }
-        let span_ms = span as u32;
-        for to in self.coordinators().into_iter().filter(|node| *node != self.options.node) {
-            let message = CoreMessage::Demand { span_ms, edges: edges.clone(), reports: reports.clone() };
-            actions.push(Action::Send { to, message });
-        }
+        self.send_to_others(&CoreMessage::Demand { span_ms: span as u32, edges, reports }, actions);
     }
 }
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -207,9 +207,16 @@
         if let Some(record) = self.directory_memory.due(now, &self.directory) {
             self.shards.store_beside(memory::STREAM, record, actions);
         }
+        self.compare_versions(now, actions);
         self.answer_polls(now, actions);
     }
 
+    /// Sends a message to all other coordinators that take part as far as this one knows.
+    fn send_to_others(&self, message: &CoreMessage, actions: &mut Vec<Action>) {
+        let others = self.coordinators().into_iter().filter(|node| *node != self.options.node);
+        actions.extend(others.map(|to| Action::Send { to, message: message.clone() }));
+    }
+
     fn send_from_parts(&mut self, actions: &mut Vec<Action>) {
         for (to, message) in self.membership.take_sends() {
             actions.push(Action::Send { to, message: CoreMessage::Membership(message) });
--- a/coordinator/src/core/polls/table.rs
+++ b/coordinator/src/core/polls/table.rs
@@ -1,4 +1,4 @@
-//! HeldPolls of data-plane nodes that wait for news.
+//! Polls of data-plane nodes that wait for news.
 
 use std::collections::BTreeMap;
 
@@ -7,7 +7,7 @@
 
 use crate::interface::CallId;
 
-/// HeldPolls that may wait at once.
+/// Polls that may wait at once.
 const MOST_POLLS: usize = 2_048;
 /// The longest time for which a poll is held, whatever it asks for.
 const LONGEST_HOLD: Millis = 10_000;
@@ -53,10 +53,4 @@
     pub fn find(&self, holds: impl Fn(&HeldPoll) -> bool) -> Vec<CallId> {
         self.waiting.iter().filter(|(_, poll)| holds(poll)).map(|(call, _)| *call).collect()
     }
-
-    /// Takes out the polls for which something holds.
-    pub fn take(&mut self, holds: impl Fn(&HeldPoll) -> bool) -> Vec<(CallId, HeldPoll)> {
-        let calls = self.find(holds);
-        calls.into_iter().filter_map(|call| Some((call, self.remove(call)?))).collect()
-    }
 }
--- a/coordinator/src/core/progress.rs
+++ b/coordinator/src/core/progress.rs
@@ -40,13 +40,11 @@
             }
         }
         let version = self.configuration_version();
-        let is_new = version != self.announced_version;
-        if is_new {
+        if version != self.announced_version {
             self.announced_version = version;
             self.holders.configured(self.shards.configuration().view());
             actions.push(Action::Note(Note::Configuration { version }));
         }
-        self.compare_versions(now, is_new, actions);
     }
 }
 
--- a/coordinator/src/core/touch.rs
+++ b/coordinator/src/core/touch.rs
@@ -31,6 +31,8 @@
     told: BTreeMap<NodeId, (u64, Millis)>,
     /// Since when a later version than the own one has been known to be in force elsewhere.
     behind_since: Option<Millis>,
+    /// The own version as it was last told to the others.
+    last_told: u64,
     next_telling: Millis,
 }
 
@@ -63,9 +65,10 @@
     }
 
     /// Whether the own version is to be told now, as it is new or was not told for long.
-    fn take_telling(&mut self, now: Millis, is_new: bool) -> bool {
-        let due = is_new || self.next_telling <= now;
+    fn take_telling(&mut self, now: Millis, own: u64) -> bool {
+        let due = own != self.last_told || self.next_telling <= now;
         if due {
+            self.last_told = own;
             self.next_telling = now + TELL_EVERY;
         }
         due
@@ -85,7 +88,7 @@
     /// then sent to another node, as the others do not hear of them from here. One that has just started takes what
     /// it hears.
     pub(super) fn has_lost_touch(&self, now: Millis) -> bool {
-        self.was_in_touch && !self.answers_majority(now)
+        self.was_in_touch && !self.answers_majority(now, &self.configuration_voters())
     }
 
     fn configuration_voters(&self) -> Vec<NodeId> {
@@ -93,14 +96,13 @@
         shard.map(|shard| shard.replica.voters().members().collect()).unwrap_or_default()
     }
 
-    fn answers_majority(&self, now: Millis) -> bool {
-        let voters = self.configuration_voters();
-        !voters.is_empty() && self.membership.answers_majority(now, &voters, OUT_OF_TOUCH)
+    fn answers_majority(&self, now: Millis, voters: &[NodeId]) -> bool {
+        !voters.is_empty() && self.membership.answers_majority(now, voters, OUT_OF_TOUCH)
     }
 
     pub(super) fn update_touch(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let voters = self.configuration_voters();
-        let in_touch = self.answers_majority(now);
+        let in_touch = self.answers_majority(now, &voters);
         if in_touch != self.in_touch {
             self.in_touch = in_touch;
             self.was_in_touch |= in_touch;
@@ -131,14 +133,12 @@
         }
     }
 
-    /// Tells the others which version is in force here, and compares it with theirs. `is_new` where it has changed.
-    pub(super) fn compare_versions(&mut self, now: Millis, is_new: bool, actions: &mut Vec<Action>) {
+    /// Tells the others which version is in force here, and compares it with theirs.
+    pub(super) fn compare_versions(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let version = self.configuration_version();
         self.versions_elsewhere.compare(now, version);
-        if self.versions_elsewhere.take_telling(now, is_new) {
-            for to in self.coordinators().into_iter().filter(|node| *node != self.options.node) {
-                actions.push(Action::Send { to, message: CoreMessage::InForce { version } });
-            }
+        if self.versions_elsewhere.take_telling(now, version) {
+            self.send_to_others(&CoreMessage::InForce { version }, actions);
         }
     }
 }
--- a/coordinator/tests/parts.rs
+++ b/coordinator/tests/parts.rs
@@ -168,9 +168,10 @@
         due: 3_600_000,
     };
     assert!(polls.add(0, CallId(1), waiting));
-    assert!(polls.take(|poll| poll.due <= 9_999).is_empty());
-    assert_eq!(polls.take(|poll| poll.due <= 10_000).len(), 1);
-    assert!(polls.take(|_| true).is_empty(), "each is taken once");
+    assert!(polls.find(|poll| poll.due <= 9_999).is_empty());
+    assert_eq!(polls.find(|poll| poll.due <= 10_000).len(), 1);
+    assert!(polls.remove(CallId(1)).is_some());
+    assert!(polls.find(|_| true).is_empty(), "each is taken once");
 }
 
 #[test]
