--- a/consensus/tests/aimed.rs
+++ b/consensus/tests/aimed.rs
@@ -483,6 +483,14 @@
     });
 }
 
+/// A group of three in which nothing is kept in memory behind a snapshot.
+fn founded_without_memory(seed: u64) -> Group {
+    Group::founded_with(3, seed, |options| {
+        tight(options);
+        options.retain_bytes = 0;
+    })
+}
+
 /// Cuts a follower off until the leader's log no longer reaches back to where it stands.
 fn fall_behind(group: &mut Group, leader: NodeId) -> NodeId {
     let followers = others(group, leader);
@@ -501,10 +509,7 @@
 fn given_a_follower_behind_the_snapshot_when_its_disk_or_power_fails_meanwhile_then_it_catches_up_in_the_end()
 {
     play_all(80_000, |seed| {
-        let mut group = Group::founded_with(3, seed, |options| {
-            tight(options);
-            options.retain_bytes = 0;
-        });
+        let mut group = founded_without_memory(seed);
         for _ in 0..5 {
             let leader = mend(&mut group);
             let behind = fall_behind(&mut group, leader);
@@ -539,10 +544,7 @@
 fn given_a_longer_log_of_a_former_leader_when_a_snapshot_replaces_it_then_nothing_counts_before_it_is_synced()
 {
     play_all(90_000, |seed| {
-        let mut group = Group::founded_with(3, seed, |options| {
-            tight(options);
-            options.retain_bytes = 0;
-        });
+        let mut group = founded_without_memory(seed);
         for _ in 0..2 {
             // A leader that is cut off keeps on taking proposals; the others go on and forget their logs.
             let former = mend(&mut group);
@@ -579,10 +581,7 @@
 #[test]
 fn given_a_follower_behind_the_snapshot_when_400_changes_go_on_at_20_a_second_then_it_keeps_up_before_they_end(
 ) {
-    let mut group = Group::founded_with(3, 1, |options| {
-        tight(options);
-        options.retain_bytes = 0;
-    });
+    let mut group = founded_without_memory(1);
     let leader = mend(&mut group);
     let behind = fall_behind(&mut group, leader);
     group.crash(behind);
--- a/consensus/tests/forgetful.rs
+++ b/consensus/tests/forgetful.rs
@@ -4,7 +4,7 @@
 
 use group::{node, Group};
 use shaletrail_consensus::{
-    Effect, HardState, Message, Options, Position, Record, Replica, Role, Stamp, Standing,
+    Effect, HardState, Index, Message, Options, Position, Record, Replica, Role, Stamp, Standing,
 };
 use shaletrail_protocol::NodeId;
 
@@ -129,18 +129,26 @@
     assert!(counted(&group));
 }
 
-#[test]
-fn given_answers_of_the_lost_disk_when_they_arrive_late_then_they_do_not_count() {
-    let Scene { mut group, leader, other, wiped } = scene(6);
+/// A scene in which the voter's new disk is not readmitted, it and the third are cut off, and an entry waits for them.
+fn scene_with_an_entry_that_waits(seed: u64) -> (Scene, Index) {
+    let mut scene = scene(seed);
+    let Scene { group, leader, other, wiped } = &mut scene;
     group.filter = Some(Box::new(|_, _, message| !is_readmission(message)));
-    group.wipe(wiped);
-    group.restart(wiped);
+    group.wipe(*wiped);
+    group.restart(*wiped);
     group.run(500);
-    group.isolate(other);
-    group.isolate(wiped);
-    let (_, index) = group.propose(leader).expect("it leads still");
+    group.isolate(*other);
+    group.isolate(*wiped);
+    let (_, index) = group.propose(*leader).expect("it leads still");
+    (scene, index)
+}
+
+/// Brings the leader an answer of the lost disk to a round, by which it would hold the entry, and looks that it does not
+/// count.
+fn assert_answer_of_the_lost_disk_does_not_count(scene: Scene, index: Index, round: u64) {
+    let Scene { mut group, leader, wiped, .. } = scene;
     let standing = Standing { boot: 12345, forgetful: false };
-    let stamp = Stamp { round: 1, sent_at: group.machines[&leader].clock(group.now) };
+    let stamp = Stamp { round, sent_at: group.machines[&leader].clock(group.now) };
     let term = group.term(leader);
     let answer = Message::HeartbeatAnswer { term, stamp, received: index, matched: index, standing };
     group.forge(wiped, leader, answer);
@@ -150,27 +158,18 @@
     assert!(!peer.counts && peer.matched < index, "{peer:?}");
 }
 
+#[test]
+fn given_answers_of_the_lost_disk_when_they_arrive_late_then_they_do_not_count() {
+    let (scene, index) = scene_with_an_entry_that_waits(6);
+    assert_answer_of_the_lost_disk_does_not_count(scene, index, 1);
+}
+
 #[test]
 fn given_answers_of_the_lost_disk_to_the_last_round_when_they_arrive_late_then_they_do_not_count() {
-    let Scene { mut group, leader, other, wiped } = scene(9);
-    group.filter = Some(Box::new(|_, _, message| !is_readmission(message)));
-    group.wipe(wiped);
-    group.restart(wiped);
-    group.run(500);
-    group.isolate(other);
-    group.isolate(wiped);
-    let (_, index) = group.propose(leader).expect("it leads still");
-    group.run(160);
-    let standing = Standing { boot: 12345, forgetful: false };
-    let round = group.rounds_sent[&leader];
-    let stamp = Stamp { round, sent_at: group.machines[&leader].clock(group.now) };
-    let term = group.term(leader);
-    let answer = Message::HeartbeatAnswer { term, stamp, received: index, matched: index, standing };
-    group.forge(wiped, leader, answer);
-    group.run(50);
-    assert!(!group.judge.is_acknowledged(index));
-    let peer = group.replica(leader).peer(wiped).expect("a voter");
-    assert!(!peer.counts && peer.matched < index, "{peer:?}");
+    let (mut scene, index) = scene_with_an_entry_that_waits(9);
+    scene.group.run(160);
+    let round = scene.group.rounds_sent[&scene.leader];
+    assert_answer_of_the_lost_disk_does_not_count(scene, index, round);
 }
 
 #[test]
--- a/consensus/tests/leases.rs
+++ b/consensus/tests/leases.rs
@@ -160,15 +160,8 @@
     let until = group.replica(leader).lease_until();
     let now = group.machines[&leader].clock(group.now);
     for follower in followers(&group) {
-        group.cuts.insert((follower, leader));
-        let standing = Standing { boot: boot_of(&group, follower), forgetful: false };
         let stamp = Stamp { round: group.rounds_sent[&leader], sent_at: now + 5000 };
-        let term = group.term(leader);
-        group.forge(
-            follower,
-            leader,
-            Message::HeartbeatAnswer { term, stamp, received: 1, matched: 1, standing },
-        );
+        forge_answer(&mut group, follower, leader, stamp);
     }
     group.run(20);
     assert_eq!(group.replica(leader).lease_until(), until);
@@ -182,15 +175,8 @@
     group.commit_one();
     group.run(1000);
     for follower in followers(&group) {
-        group.cuts.insert((follower, leader));
-        let standing = Standing { boot: boot_of(&group, follower), forgetful: false };
         let stamp = Stamp { round: u64::MAX, sent_at: group.machines[&leader].clock(group.now) };
-        let term = group.term(leader);
-        group.forge(
-            follower,
-            leader,
-            Message::HeartbeatAnswer { term, stamp, received: 1, matched: 1, standing },
-        );
+        forge_answer(&mut group, follower, leader, stamp);
     }
     group.run(20);
     let answered = group.judge.reads_answered;
@@ -203,6 +189,15 @@
     assert_eq!(group.judge.reads_answered, answered);
 }
 
+/// Cuts a follower's way to the leader, and has an answer with a made-up stamp come in its name.
+fn forge_answer(group: &mut Group, follower: NodeId, leader: NodeId, stamp: Stamp) {
+    group.cuts.insert((follower, leader));
+    let standing = Standing { boot: boot_of(group, follower), forgetful: false };
+    let term = group.term(leader);
+    let answer = Message::HeartbeatAnswer { term, stamp, received: 1, matched: 1, standing };
+    group.forge(follower, leader, answer);
+}
+
 fn boot_of(group: &Group, node: NodeId) -> u64 {
     let records = group.machines[&node].disk.records();
     let hard = records.iter().rev().find_map(|record| match record {
