--- a/placement/tests/common/world.rs
+++ b/placement/tests/common/world.rs
@@ -50,12 +50,35 @@
     pub answer_lost: f64,
     pub heartbeat_late: f64,
     pub report_lost: f64,
+    /// Orders that reach their server only after a while.
+    pub order_late: f64,
+    /// Reports that come only after a while; what they say is from when they were asked for.
+    pub report_late: f64,
+    /// Loads that take up to [`SLOWEST_LOAD`] times their time.
+    pub load_slow: f64,
+    /// By how much heartbeats are late at most, where that is not [`HEARTBEAT_LATE`].
+    pub latest_heartbeat: Option<Millis>,
 }
 
+/// By how much heartbeats that are late are so at most, in milliseconds.
+const HEARTBEAT_LATE: Millis = 3_000;
+/// The same for orders; they are answered at once then, or not at all.
+const ORDER_LATE: Millis = 600;
+/// The same for reports.
+const REPORT_LATE: Millis = 1_400;
+/// How many times its usual time a slow load takes at most.
+const SLOWEST_LOAD: f64 = 6.0;
+/// From its election on a holder that follows another one sends no orders for so long, in milliseconds.
+const TURN_WAIT: Millis = 3_600;
+
 pub struct World {
     pub now: Millis,
     pub catalogue: Catalogue,
     pub planner: Planner,
+    /// The planner of a node that may come to hold the right to order: it takes in the same as the holder's.
+    pub standby: Planner,
+    /// Until when the holder sends no orders.
+    pub orders_from: Millis,
     pub servers: Vec<SimulatedServer>,
     pub demand: Vec<Asked>,
     pub faults: Faults,
@@ -70,9 +93,14 @@
     gone: BTreeSet<String>,
     events: BTreeMap<(Millis, u64), Event>,
     next_event: u64,
+    /// The newest messages, with the moment and the server, for the text of a failure.
+    seen: VecDeque<(Millis, String, String)>,
     random: Pcg64,
 }
 
+/// Messages that are remembered for the text of a failure.
+const SEEN: usize = 600;
+
 impl World {
     pub fn new(models: usize, servers: usize, seed: u64) -> World {
         World::with(catalogue(models), servers, seed)
@@ -99,7 +127,9 @@
         World {
             now,
             catalogue,
+            standby: planner.clone(),
             planner,
+            orders_from: 0,
             servers: (0..servers).map(|index| server(index, &mut random)).collect(),
             demand: Vec::new(),
             faults: Faults::default(),
@@ -112,6 +142,7 @@
             gone: BTreeSet::new(),
             events: BTreeMap::new(),
             next_event: 0,
+            seen: VecDeque::new(),
             random,
         }
     }
@@ -141,6 +172,21 @@
         self.events.retain(|_, event| !matches!(event, Event::Outcome(..) | Event::Report(..)));
     }
 
+    /// The holder is lost, and the node that watched is elected. Orders of the former that are on their way arrive.
+    pub fn hand_over(&mut self) {
+        let fresh = Planner::new(SERVICE.into(), self.catalogue.clone(), Options::default(), self.now);
+        self.planner = std::mem::replace(&mut self.standby, fresh);
+        self.planner.take_over(self.now, Some(self.now));
+        self.orders_from = self.now + TURN_WAIT;
+        self.note("", "another holder".to_owned());
+        self.events.retain(|_, event| !matches!(event, Event::Outcome(..) | Event::Report(..)));
+        self.events.values_mut().for_each(|event| {
+            if let Event::Order(_, answered) = event {
+                *answered = false;
+            }
+        });
+    }
+
     pub fn crash(&mut self, server: usize, down: Millis) {
         let back = self.now + down;
         let server = &mut self.servers[server];
@@ -172,6 +218,18 @@
         self.events.insert((time, self.next_event), event);
     }
 
+    fn note(&mut self, server: &str, what: String) {
+        if self.seen.len() == SEEN {
+            self.seen.pop_front();
+        }
+        self.seen.push_back((self.now, server.to_owned(), what));
+    }
+
+    fn history_of(&self, id: &str) -> String {
+        let of_server = self.seen.iter().filter(|(_, server, _)| server == id || server.is_empty());
+        of_server.map(|(at, _, what)| format!("{at} {what}\n")).collect()
+    }
+
     fn chance(&mut self, share: f64) -> bool {
         share > 0.0 && self.random.random_bool(share)
     }
@@ -180,9 +238,15 @@
         while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= self.now) {
             match entry.remove() {
                 Event::Order(order, answered) => self.take(order, answered),
-                Event::Outcome(id, outcome) => self.planner.outcome(self.now, &id, outcome),
+                Event::Outcome(id, outcome) => {
+                    self.note(&id, format!("answered {outcome}"));
+                    self.planner.outcome(self.now, &id, outcome);
+                }
                 Event::Heartbeat(record) => self.tell(&record),
-                Event::Report(id, report) => self.planner.report(self.now, &id, &report),
+                Event::Report(id, report) => {
+                    self.note(&id, format!("report {report:?}"));
+                    self.planner.report(self.now, &id, &report);
+                }
             }
         }
     }
@@ -194,13 +258,20 @@
         } else if self.gone.contains(&record.id) {
             return;
         }
+        let listed = format!("heartbeat {} {:?}", record.heartbeat.sequence, record.heartbeat.models);
+        self.note(&record.id, listed);
         self.planner.server(self.now, record);
+        self.standby.server(self.now, record);
     }
 
     fn plan(&mut self) {
-        for order in self.planner.next_orders(self.now) {
+        let may_order = self.now >= self.orders_from;
+        let orders = if may_order { self.planner.next_orders(self.now) } else { Vec::new() };
+        for order in orders {
             self.orders.push((self.now, order.clone()));
-            let arrives = self.now + self.random.random_range(1..60);
+            self.note(&order.server, format!("planned {order:?}"));
+            let late = if self.chance(self.faults.order_late) { ORDER_LATE } else { 60 };
+            let arrives = self.now + self.random.random_range(1..late);
             let timeout = self.now + ANSWER_WITHIN;
             if self.chance(self.faults.order_lost) {
                 self.at(timeout, Event::Outcome(order.server, Outcome::Unknown));
@@ -219,15 +290,17 @@
             };
             let old = self.now.saturating_sub(REPORT_LAG);
             let past = server.past.iter().rev().find(|(at, _)| *at <= old);
-            if let Some(report) = past.map(|(_, report)| report.clone()).filter(|_| !lost) {
-                self.at(self.now + STEP, Event::Report(id, report));
-            }
+            let Some(report) = past.map(|(_, report)| report.clone()).filter(|_| !lost) else { continue };
+            let late = self.chance(self.faults.report_late);
+            let takes = if late { self.random.random_range(STEP..REPORT_LATE) } else { STEP };
+            self.at(self.now + takes, Event::Report(id, report));
         }
     }
 
     /// A server takes an order, and the rules are checked.
     fn take(&mut self, order: PlannedOrder, answered: bool) {
         let outcome = self.outcome(&order);
+        self.note(&order.server, format!("taken as {outcome}: {} {}", order.operation, order.model));
         if answered {
             let answer = self.now + self.random.random_range(1..60);
             self.at(answer, Event::Outcome(order.server, outcome));
@@ -245,6 +318,11 @@
             .clone();
         let loading =
             self.servers.iter().filter(|s| s.running.as_ref().is_some_and(|run| run.from_store)).count();
+        let slow = if self.chance(self.faults.load_slow) {
+            self.random.random_range(1.0..SLOWEST_LOAD)
+        } else {
+            1.0
+        };
         let Some(server) = self.servers.iter_mut().find(|server| server.id() == order.server && server.up())
         else {
             return self.nobody_there(&order.server);
@@ -271,8 +349,8 @@
             (Operation::Load, None) => {
                 from_store = server.disk.insert(order.model.clone());
                 let part = if from_store { 1.0 } else { 0.2 };
-                let slow = ((loading + 1) as f64 / at_once as f64).max(1.0);
-                (spec.load_time_s * 1_000.0 * part * slow) as Millis
+                let crowded = ((loading + 1) as f64 / at_once as f64).max(1.0);
+                (spec.load_time_s * 1_000.0 * part * crowded * slow) as Millis
             }
         };
         server.running = Some(Running {
@@ -314,10 +392,11 @@
             })
             .sum();
         let adapters: usize = after.values().map(BTreeSet::len).sum();
-        assert!(mb <= self.catalogue.weights_mb, "{id} ordered beyond its room at {}: {after:?}", self.now);
         assert!(
-            adapters <= self.catalogue.adapter_capacity as usize,
-            "{id} ordered beyond its adapters: {after:?}"
+            mb <= self.catalogue.weights_mb && adapters <= self.catalogue.adapter_capacity as usize,
+            "{id} ordered beyond its room at {}: {after:?}\n{}",
+            self.now,
+            self.history_of(id)
         );
     }
 
@@ -391,8 +470,12 @@
                 continue;
             }
             let record = ServerRecord { id: server.id(), heartbeat, presence, ..ServerRecord::default() };
-            let late =
-                if self.chance(self.faults.heartbeat_late) { self.random.random_range(0..3_000) } else { 10 };
+            let latest = self.faults.latest_heartbeat.unwrap_or(HEARTBEAT_LATE);
+            let late = if self.chance(self.faults.heartbeat_late) {
+                self.random.random_range(0..latest)
+            } else {
+                10
+            };
             self.at(now + late, Event::Heartbeat(record));
         }
     }
@@ -446,5 +529,6 @@
             .map(|((model, adapter), demand)| Demand { service: SERVICE.into(), model, adapter, ..demand })
             .collect();
         self.planner.demand(now, EDGE, &demand);
+        self.standby.demand(now, EDGE, &demand);
     }
 }
--- a/placement/tests/histories.rs
+++ b/placement/tests/histories.rs
@@ -134,15 +134,15 @@
     for seed in 0..30 {
         let mut random = Pcg64::seed_from_u64(seed);
         let mut world = full_world(39, seed);
-        world.faults = Faults { order_lost: 0.1, answer_lost: 0.15, heartbeat_late: 0.2, report_lost: 0.2 };
+        world.faults = Faults {
+            order_lost: 0.1,
+            answer_lost: 0.15,
+            heartbeat_late: 0.2,
+            report_lost: 0.2,
+            ..Faults::default()
+        };
         for _ in 0..12 {
-            let rates = [0.2, 0.5, 2.0, 20.0];
-            let one = |random: &mut Pcg64| {
-                let model = format!("m{}", random.random_range(0..39));
-                let adapter = random.random_bool(0.4).then(|| format!("a{}", random.random_range(1..=42)));
-                Asked { adapter, ..asked(&model, *rates.choose(random).unwrap(), 3_000) }
-            };
-            world.demand = (0..random.random_range(1..12)).map(|_| one(&mut random)).collect();
+            world.demand = random_demand(&mut random, 39);
             if random.random_bool(0.3) {
                 let down = random.random_range(1_000..8_000);
                 world.crash(random.random_range(0..12), down);
@@ -185,3 +185,49 @@
     let figures = world.planner.figures();
     assert!(figures.rounds > 0 && figures.examined / figures.rounds <= 16 * 90, "{figures:?}");
 }
+
+/// Demand for a few models and adapters, drawn at random.
+fn random_demand(random: &mut Pcg64, models: usize) -> Vec<Asked> {
+    let rates = [0.2, 0.5, 2.0, 20.0];
+    let one = |random: &mut Pcg64| {
+        let model = format!("m{}", random.random_range(0..models));
+        let adapter = random.random_bool(0.4).then(|| format!("a{}", random.random_range(1..=42)));
+        Asked { adapter, ..asked(&model, *rates.choose(random).unwrap(), 3_000) }
+    };
+    (0..random.random_range(1..12)).map(|_| one(random)).collect()
+}
+
+/// Seeds of histories with late messages; `LIMIT_SEEDS` names another number of them.
+fn late_seeds() -> u64 {
+    std::env::var("LIMIT_SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(150)
+}
+
+#[test]
+fn given_late_messages_and_changes_of_the_holder_when_demand_shifts_then_no_server_is_ordered_beyond_its_room(
+) {
+    for seed in 0..late_seeds() {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let servers = random.random_range(2..8);
+        let mut world = World::new(servers * 4, servers, seed);
+        for index in 0..servers * 3 {
+            world.hold(index % servers, &[&format!("m{index}")]);
+        }
+        world.faults = Faults {
+            order_lost: 0.05,
+            answer_lost: 0.1,
+            report_lost: 0.1,
+            heartbeat_late: 0.3,
+            order_late: 0.2,
+            report_late: 0.3,
+            load_slow: 0.3,
+            latest_heartbeat: Some(random.random_range(1_000..8_000)),
+        };
+        for _ in 0..20 {
+            world.demand = random_demand(&mut random, servers * 4);
+            if random.random_bool(0.2) {
+                world.hand_over();
+            }
+            world.run(random.random_range(500..6_000));
+        }
+    }
+}
