Name in each order the count of orders for which the server's contents are known

Cause: that a server has room was concluded from time and from messages that may be older than they seem. A new holder's doubt ended by the clock with a heartbeat, though the former's load was under way, and its orders named no count (1). A late heartbeat from before an eviction vouched for a later load, and the next one took it for gone (2). Change: each order names the count (PlannedOrder::if_revision is no option any more). The count is 0 for a server that nobody has ordered, one more after each order taken, what a report says; it is forgotten by a turn, by an order that is refused or not answered or overdue, and by a heartbeat that frees room which no accepted eviction of ours frees. Where it is not known the server is asked for a report before the order. Outcomes are matched by the order's own number. Refused orders are logged. The texts of expected orders in the tests gain the count; the story of a former holder's load now wants the report asked and nothing ordered before it, as an order without a count cannot be made any more; a story of a load from the own disk tells the eviction by a report instead of a heartbeat.

--- a/coordinator/src/core/orders.rs
+++ b/coordinator/src/core/orders.rs
@@ -12,7 +12,7 @@
 
 use shaletrail_cluster::Directory;
 use shaletrail_configuration::{Runtime, View};
-use shaletrail_placement::{Catalogue, ModelSpec, PlannedOrder, Planner};
+use shaletrail_placement::{Catalogue, ModelSpec, OrderNumber, PlannedOrder, Planner};
 use shaletrail_protocol::inside::{EdgeReport, PlacementNote, ServerRecord};
 use shaletrail_protocol::outside::{HeldModel, Operation, Order, Report};
 use shaletrail_protocol::{Millis, NodeId, ServerId};
@@ -64,6 +64,8 @@
 struct UnderWay {
     service: String,
     server: ServerId,
+    /// The planner's name of it.
+    number: OrderNumber,
     /// The fence of the turn that it belongs to.
     fence: u64,
 }
@@ -180,14 +182,14 @@
 
     /// An order has ended.
     pub fn ordered(&mut self, now: Millis, order: OrderId, outcome: OrderOutcome) {
-        let Some(UnderWay { service, server, fence }) = self.under_way.remove(&order) else { return };
+        let Some(UnderWay { service, server, number, fence }) = self.under_way.remove(&order) else { return };
         self.next_plan = now;
         if self.own_fence(&service) != Some(fence) {
             // A later turn has started over, and takes all that was under way to be in doubt.
             return;
         }
         if let Some(planner) = self.planners.get_mut(&service) {
-            planner.outcome(now, &server, outcome);
+            planner.outcome(now, &server, number, outcome);
         }
     }
 
@@ -205,6 +207,8 @@
     /// A server's report has come, or none has.
     pub fn reported(&mut self, now: Millis, server: &ServerId, report: Option<Report>) {
         let Some(report) = report else { return };
+        // Orders may wait for it.
+        self.next_plan = now;
         for planner in self.planners.values_mut() {
             planner.report(now, server, &report);
         }
@@ -237,12 +241,11 @@
             if self.leaderships.get(&shard).is_none_or(|leadership| leadership.turn.is_none()) {
                 continue;
             }
-            self.ask_reports(now, &service, directory, actions);
-            if !self.may_order(now, shard, shards) {
-                continue;
+            if self.may_order(now, shard, shards) {
+                self.tell_contents(now, &service, shard, directory);
+                self.send_orders(now, &service, shard, directory, actions);
             }
-            self.tell_contents(now, &service, shard, directory);
-            self.send_orders(now, &service, shard, directory, actions);
+            self.ask_reports(now, &service, directory, actions);
         }
     }
 
@@ -351,7 +354,8 @@
         for Planned { order: planned, .. } in due {
             self.next_order += 1;
             let order = OrderId(self.next_order);
-            let under_way = UnderWay { service: service.to_owned(), server: planned.server.clone(), fence };
+            let (server, number) = (planned.server.clone(), planned.number);
+            let under_way = UnderWay { service: service.to_owned(), server, number, fence };
             self.under_way.insert(order, under_way);
             actions.push(order_action(order, planned, &self.name, fence));
         }
@@ -413,7 +417,7 @@
         operation: planned.operation,
         model: planned.model,
         adapter: planned.adapter,
-        if_revision: planned.if_revision,
+        if_revision: Some(planned.if_revision),
         lease_holder: name.to_owned(),
         fencing_token: fence,
     };
--- a/coordinator/src/driver/host.rs
+++ b/coordinator/src/driver/host.rs
@@ -6,11 +6,11 @@
 use std::time::Instant;
 
 use shaletrail_protocol::inside::{EdgeIdentity, OperatorAnswer, OperatorCall, PollReply, PollRequest};
-use shaletrail_protocol::outside::Heartbeat;
+use shaletrail_protocol::outside::{Heartbeat, Order};
 use shaletrail_protocol::settings::Settings;
 use shaletrail_protocol::{Millis, ServerId};
 use shaletrail_storage::Report;
-use slog::{debug, info, warn, Logger};
+use slog::{debug, info, o, warn, Logger};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 
@@ -18,7 +18,7 @@
 use super::links::Links;
 use super::orders::{deliver, fetch_report, Outgoing};
 use crate::core::Core;
-use crate::interface::{Action, CallId, CoreOptions, Event, Note, OrderId};
+use crate::interface::{Action, CallId, CoreOptions, Event, Note, OrderId, OrderOutcome};
 
 /// Where the clock that events carry begins, in milliseconds: nothing of it is ever below.
 const CLOCK_START: Millis = 1_000_000;
@@ -121,12 +121,22 @@
         tokio::task::spawn_local(async move {
             let outcome = deliver(&outgoing, move || asked.may_write(order)).await;
             let Outgoing { server, body, .. } = outgoing;
-            debug!(host.log, "order"; "operation" => %body.operation, "model" => body.model,
-                "adapter" => body.adapter.unwrap_or_default(), "server" => server, "outcome" => %outcome);
+            host.log_order(&server, &body, outcome);
             host.handle(Event::Ordered { order, outcome });
         });
     }
 
+    /// An order that is refused tells that something was not known of its server: another order that it has taken.
+    fn log_order(&self, server: &str, body: &Order, outcome: OrderOutcome) {
+        let log = self.log.new(o!("operation" => body.operation.to_string(), "model" => body.model.clone(),
+            "adapter" => body.adapter.clone().unwrap_or_default(), "server" => server.to_owned(),
+            "count" => body.if_revision, "fence" => body.fencing_token, "outcome" => outcome.to_string()));
+        match outcome {
+            OrderOutcome::Busy | OrderOutcome::AlreadyHeld => info!(log, "order refused"),
+            _ => debug!(log, "order"),
+        }
+    }
+
     /// Whether an order may be written to its server now.
     fn may_write(&self, order: OrderId) -> bool {
         self.state.borrow().core.may_write(self.now(), order)
@@ -136,6 +146,10 @@
         let Some(host) = self.myself.upgrade() else { return };
         tokio::task::spawn_local(async move {
             let report = fetch_report(&server, &address).await;
+            if let Some(report) = &report {
+                debug!(host.log, "report"; "server" => &server, "count" => report.sequence,
+                    "busy" => report.utilization, "models" => report.models.len());
+            }
             host.handle(Event::Reported { server, report });
         });
     }
--- a/placement/src/holding.rs
+++ b/placement/src/holding.rs
@@ -2,7 +2,8 @@
 //!
 //! Messages overtake each other: a heartbeat may have been built before an order that is known to be done. So what
 //! is known from an answer or a report stays for [`GRACE`] and until two heartbeats in a row lack it, and what a
-//! heartbeat listed goes with the first later one that does not.
+//! heartbeat listed goes with the first later one that does not. That is good enough to tell edges what is where. It
+//! proves nothing: whoever takes up room that a heartbeat has freed asks for a report first (see [`Dropped`]).
 
 use std::collections::BTreeMap;
 
@@ -34,8 +35,7 @@
                 self.missed = self.missed.saturating_add(1);
                 !self.listed && (self.missed < MISSES || now.saturating_sub(self.at) < GRACE)
             }
-            Source::FreshReport => false,
-            Source::StaleReport => true,
+            Source::Report => false,
         }
     }
 
@@ -50,10 +50,17 @@
 pub enum Source {
     /// A heartbeat that is newer than all seen of that server.
     Heartbeat,
-    /// A report that surely shows the state after all orders answered so far.
-    FreshReport,
-    /// A report that may show an earlier state.
-    StaleReport,
+    /// A report that shows the state after all orders answered so far.
+    Report,
+}
+
+/// What a list lacked and is therefore taken to be gone.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Dropped {
+    /// Models and adapters.
+    pub items: Vec<Item>,
+    /// Whether there were also things without a known name among them.
+    pub nameless: bool,
 }
 
 /// A model as listed: its adapters by number, and how many more have names of another form.
@@ -67,13 +74,6 @@
     pub strange: usize,
 }
 
-impl Listed {
-    /// Whether it names the model, or the adapter with it.
-    pub fn holds(&self, item: Item) -> bool {
-        self.model == Some(item.model) && item.adapter.is_none_or(|adapter| self.adapters.contains(&adapter))
-    }
-}
-
 #[derive(Clone, Debug, Default)]
 struct Copy {
     evidence: Evidence,
@@ -90,26 +90,37 @@
 }
 
 impl Holding {
-    /// Takes over a list of all that a server holds.
-    pub fn absorb(&mut self, now: Millis, listed: &[Listed], source: Source) {
-        if source != Source::StaleReport {
-            self.unknown = listed.iter().any(|entry| entry.model.is_none());
-        }
+    /// Takes over a list of all that a server holds, and tells what is gone by it.
+    pub fn absorb(&mut self, now: Millis, listed: &[Listed], source: Source) -> Dropped {
+        let unknown = listed.iter().any(|entry| entry.model.is_none());
+        let mut dropped = Dropped { nameless: self.unknown && !unknown, ..Dropped::default() };
+        self.unknown = unknown;
         let named: Vec<(ModelId, &Listed)> =
             listed.iter().filter_map(|entry| Some((entry.model?, entry))).collect();
         self.copies.retain(|id, copy| {
-            named.iter().any(|(model, _)| model == id) || copy.evidence.survives(now, source)
+            let stays = named.iter().any(|(model, _)| model == id) || copy.evidence.survives(now, source);
+            if !stays {
+                dropped.items.push(Item { model: *id, adapter: None });
+            }
+            stays
         });
         for (id, entry) in named {
             let copy = self.copies.entry(id).or_default();
             copy.evidence.confirm(now, source);
+            dropped.nameless |= copy.strange > entry.strange;
             copy.strange = entry.strange;
-            copy.adapters
-                .retain(|number, evidence| entry.adapters.contains(number) || evidence.survives(now, source));
+            copy.adapters.retain(|number, evidence| {
+                let stays = entry.adapters.contains(number) || evidence.survives(now, source);
+                if !stays {
+                    dropped.items.push(Item { model: id, adapter: Some(*number) });
+                }
+                stays
+            });
             for number in &entry.adapters {
                 copy.adapters.entry(*number).or_default().confirm(now, source);
             }
         }
+        dropped
     }
 
     /// Notes that something is there which no message has listed yet.
@@ -122,20 +133,6 @@
         }
     }
 
-    /// Notes that something is surely gone.
-    pub fn remove(&mut self, item: Item) {
-        match item.adapter {
-            None => {
-                self.copies.remove(&item.model);
-            }
-            Some(adapter) => {
-                if let Some(copy) = self.copies.get_mut(&item.model) {
-                    copy.adapters.remove(&adapter);
-                }
-            }
-        }
-    }
-
     /// Whether a model, or an adapter with its model, may be there.
     pub fn has(&self, item: Item) -> bool {
         self.copies.get(&item.model).is_some_and(|copy| match item.adapter {
@@ -144,14 +141,6 @@
         })
     }
 
-    /// Whether a heartbeat has listed it.
-    pub fn is_listed(&self, item: Item) -> bool {
-        self.copies.get(&item.model).is_some_and(|copy| match item.adapter {
-            None => copy.evidence.listed,
-            Some(adapter) => copy.adapters.get(&adapter).is_some_and(|evidence| evidence.listed),
-        })
-    }
-
     /// The models.
     pub fn models(&self) -> impl Iterator<Item = ModelId> + '_ {
         self.copies.keys().copied()
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -7,7 +7,8 @@
 //! How it decides, in the order of the modules:
 //! - [`rate`] and `demand` smooth what edges report;
 //! - `target` turns that into a number of replicas for each model;
-//! - `holding` and `server` keep what a server may hold, counting every order whose effect is not known;
+//! - `holding` and `server` keep what a server may hold, counting every order whose effect is not known, and
+//!   `order_count` keeps for how many orders that is true: each order names it;
 //! - [`origin`] keeps loads from the weight store within their rate;
 //! - `needs`, `choice`, `adapters` and `rounds` find the missing replicas, the server for each, and what gives way.
 //!
@@ -26,6 +27,7 @@
 mod model;
 mod needs;
 mod options;
+mod order_count;
 pub mod origin;
 mod planner;
 pub mod rate;
@@ -35,4 +37,4 @@
 
 pub use catalogue::{Catalogue, ModelSpec};
 pub use options::Options;
-pub use planner::{Figures, Outcome, PlannedOrder, Planner, WantedServer};
+pub use planner::{Figures, OrderNumber, Outcome, PlannedOrder, Planner, WantedServer};
--- a/placement/src/planner.rs
+++ b/placement/src/planner.rs
@@ -14,7 +14,8 @@
 use crate::model::{Item, ModelId, ModelTable};
 use crate::options::Options;
 use crate::origin::OriginBudget;
-use crate::server::{Doubt, Server, REPORT_LAG};
+pub use crate::server::OrderNumber;
+use crate::server::{Doubt, InFlight, Server, REPORT_LAG};
 
 /// Servers that are kept at most.
 const MOST_SERVERS: usize = 4_096;
@@ -49,6 +50,8 @@
 /// An order to be sent now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlannedOrder {
+    /// Its name, by which its outcome is told.
+    pub number: OrderNumber,
     /// To which server.
     pub server: ServerId,
     /// Its address, `IP:PORT`.
@@ -59,8 +62,8 @@
     pub model: String,
     /// With which of its adapters, if not with the model itself.
     pub adapter: Option<String>,
-    /// The count of orders that the server must be at, where it is known.
-    pub if_revision: Option<u64>,
+    /// The count of orders that the server must be at: it refuses where that is another one.
+    pub if_revision: u64,
 }
 
 /// What a server should hold.
@@ -102,6 +105,7 @@
     pub(crate) servers: BTreeMap<ServerKey, Server>,
     pub(crate) keys: BTreeMap<ServerId, ServerKey>,
     pub(crate) next_key: u64,
+    pub(crate) last_order: u64,
     pub(crate) ring: SlotArray<ServerKey>,
     pub(crate) origin: OriginBudget,
     pub(crate) former: Doubt,
@@ -117,7 +121,7 @@
 fn former_orders(catalogue: &Catalogue, until: Millis) -> Doubt {
     let slowest = catalogue.models.iter().map(|model| model.load_time_s).fold(0.0, f64::max);
     let loads_over = (slowest.clamp(0.0, 3_600.0) * FORMER_LOADS * 1_000.0) as Millis + FORMER_SLACK;
-    Doubt { report_from: until + REPORT_LAG, heartbeat_from: until + loads_over }
+    Doubt { report_from: until + REPORT_LAG, heartbeat_from: until + loads_over, count_from: None }
 }
 
 impl Planner {
@@ -137,6 +141,7 @@
             servers: BTreeMap::new(),
             keys: BTreeMap::new(),
             next_key: 0,
+            last_order: 0,
             ring: SlotArray::default(),
             origin,
             former,
@@ -155,7 +160,10 @@
             Some(until) => {
                 (OriginBudget::used_up(until, window, rate), former_orders(&self.catalogue, until))
             }
-            None => (OriginBudget::unused(window, rate), Doubt { report_from: now, heartbeat_from: now }),
+            None => (
+                OriginBudget::unused(window, rate),
+                Doubt { report_from: now, heartbeat_from: now, count_from: None },
+            ),
         };
         let doubt = former_until.map(|_| self.former);
         self.servers.values_mut().for_each(|server| server.start_over(doubt));
@@ -238,10 +246,11 @@
         self.changed = true;
     }
 
-    /// Takes over how the outstanding order of a server ended.
-    pub fn outcome(&mut self, now: Millis, id: &ServerId, outcome: Outcome) {
+    /// Takes over how an order to a server ended, if it is still outstanding.
+    pub fn outcome(&mut self, now: Millis, id: &ServerId, number: OrderNumber, outcome: Outcome) {
         let Some(server) = self.keys.get(id).and_then(|key| self.servers.get_mut(key)) else { return };
-        let Some(order) = server.in_flight.as_ref().filter(|order| order.accepted.is_none()) else { return };
+        let outstanding = |order: &&InFlight| order.number == number && order.accepted.is_none();
+        let Some(order) = server.in_flight.as_ref().filter(outstanding) else { return };
         if let Some(token) = order.origin {
             match outcome {
                 Outcome::Accepted => self.origin.accepted(now, token),
--- a/placement/src/rounds.rs
+++ b/placement/src/rounds.rs
@@ -9,7 +9,7 @@
 use crate::model::{Item, ModelId};
 use crate::needs::{needs, Need, Tally, Urgency};
 use crate::planner::{PlannedOrder, Planner};
-use crate::server::{InFlight, Reservation, Server};
+use crate::server::{InFlight, OrderNumber, Reservation, Server};
 
 /// Milliseconds after which a round is due even if nothing has changed.
 const QUIET_ROUND: Millis = 1_000;
@@ -232,12 +232,14 @@
         if !self.servers.values().any(|server| server.reserved.is_some()) {
             return Vec::new();
         }
+        self.await_counts(now);
         let mut tally = self.tally();
         let mut rate = self.origin.available(now);
         let mut at_once = self.catalogue.loads_at_once() as isize - self.loads_under_way(now) as isize;
         let scene = self.scene(now, &tally);
         let mut steps = Vec::new();
-        for (key, server) in self.servers.iter().filter(|(_, server)| server.takes_orders(now)) {
+        let ready = |server: &Server| server.takes_orders(now) && server.count.known().is_some();
+        for (key, server) in self.servers.iter().filter(|(_, server)| ready(server)) {
             let Some(place) = server.reserved else { continue };
             let step = next_step(&scene, *key, server, &place, &tally);
             if let Step::Load { from_origin: true, .. } = step {
@@ -255,6 +257,13 @@
         steps.into_iter().filter_map(|(key, step)| self.take_step(now, key, step)).collect()
     }
 
+    /// Lets reserved servers be asked for the count that their next order has to name.
+    fn await_counts(&mut self, now: Millis) {
+        let reserved = self.servers.values_mut().filter(|server| server.reserved.is_some());
+        let waiting = reserved.filter(|server| server.takes_orders(now) && server.count.known().is_none());
+        waiting.for_each(Server::await_count);
+    }
+
     fn take_step(&mut self, now: Millis, key: ServerKey, step: Step) -> Option<PlannedOrder> {
         let server = self.servers.get_mut(&key)?;
         if !matches!(step, Step::Evict(_)) {
@@ -276,7 +285,8 @@
         sent.collect::<Vec<_>>().into_iter().flatten().collect()
     }
 
-    /// Notes an order as outstanding and puts it into words.
+    /// Notes an order as outstanding and puts it into words. Where the count that it has to name is not known, the
+    /// server is asked for it instead.
     fn send(
         &mut self,
         now: Millis,
@@ -288,23 +298,35 @@
         let spec = &self.models.get(item.model)?.spec;
         // Too many loads slow each other in proportion.
         let crowding = (self.loads_under_way(now) + 1) as f64 / self.catalogue.loads_at_once() as f64;
-        let load_time_s = spec.load_time_s * crowding.max(1.0);
+        let takes = match (operation, item.adapter) {
+            (Operation::Load, None) => {
+                InFlight::load_takes(spec.load_time_s * crowding.max(1.0), from_origin)
+            }
+            _ => 0,
+        };
         let server = self.servers.get_mut(&key)?;
-        let origin = from_origin.then(|| self.origin.order(now));
+        let Some(named) = server.count.known() else {
+            server.await_count();
+            return None;
+        };
         match (operation, item.adapter) {
             (_, Some(_)) => self.figures.adapter_orders += 1,
             (Operation::Evict, None) => self.figures.evictions += 1,
             (Operation::Load, None) if from_origin => self.figures.loads += 1,
             (Operation::Load, None) => self.figures.disk_loads += 1,
         }
-        server.order(InFlight::new(operation, item, now, origin, load_time_s));
+        self.last_order += 1;
+        let number = OrderNumber(self.last_order);
+        let origin = from_origin.then(|| self.origin.order(now));
+        server.order(InFlight { number, named, operation, item, sent: now, accepted: None, origin, takes });
         Some(PlannedOrder {
+            number,
             server: server.id.clone(),
             address: server.address.clone(),
             operation,
             model: spec.name.clone(),
             adapter: item.adapter.map(adapter_name),
-            if_revision: server.revision,
+            if_revision: named,
         })
     }
 }
--- a/placement/src/server.rs
+++ b/placement/src/server.rs
@@ -6,9 +6,10 @@
 use shaletrail_protocol::outside::Operation;
 use shaletrail_protocol::{Millis, ServerId};
 
-use crate::holding::{Holding, Listed, Source};
+use crate::holding::{Dropped, Holding, Listed, Source};
 use crate::model::{Item, ModelId, ModelTable};
 use crate::needs::Urgency;
+use crate::order_count::OrderCount;
 use crate::origin::{LoadToken, BEGUN_WITHIN};
 
 /// How old the values of a report may be, in milliseconds.
@@ -33,9 +34,17 @@
 const ASK_AGAIN: Millis = 250;
 const ASK_AGAIN_MOST: Millis = 2_400;
 
+/// Names an order of one planner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OrderNumber(pub u64);
+
 /// An order that was sent and whose effect is not yet seen.
 #[derive(Clone, Debug)]
 pub struct InFlight {
+    /// Its name.
+    pub number: OrderNumber,
+    /// The count of orders that it names.
+    pub named: u64,
     /// What was ordered.
     pub operation: Operation,
     /// Of what.
@@ -51,20 +60,10 @@
 }
 
 impl InFlight {
-    /// An order that is sent now. `load_time_s` is the model's, from the store.
-    pub fn new(
-        operation: Operation,
-        item: Item,
-        sent: Millis,
-        origin: Option<LoadToken>,
-        load_time_s: f64,
-    ) -> Self {
-        let part = if origin.is_some() { 1.0 } else { DISK_PART };
-        let takes = match (operation, item.adapter) {
-            (Operation::Load, None) => (load_time_s.clamp(0.0, 3_600.0) * 1_000.0 * part) as Millis,
-            _ => 0,
-        };
-        InFlight { operation, item, sent, accepted: None, origin, takes }
+    /// How long a load of a model should take whose time from the store this is, in milliseconds.
+    pub fn load_takes(load_time_s: f64, from_origin: bool) -> Millis {
+        let part = if from_origin { 1.0 } else { DISK_PART };
+        (load_time_s.clamp(0.0, 3_600.0) * 1_000.0 * part) as Millis
     }
 
     /// Whether it is a load that is likely done, by the time that it should take.
@@ -78,6 +77,12 @@
         self.operation == operation && self.item.adapter.is_none()
     }
 
+    /// Whether it evicts this, or the model that this belongs to.
+    pub fn evicts(&self, item: Item) -> bool {
+        self.operation == Operation::Evict
+            && (self.item == item || self.item == Item { adapter: None, ..item })
+    }
+
     fn overdue(&self, accepted: Millis, now: Millis) -> bool {
         let longest = match self.operation {
             Operation::Load => (self.takes as f64 * SLOWEST_LOAD) as Millis + ORDER_SLACK,
@@ -88,12 +93,17 @@
 }
 
 /// An order may be under way or done that is not known: nothing is ordered until a message tells.
+///
+/// Once heartbeats tell, edges are told by them again what is there. That is a matter of time, and may be wrong; no
+/// order rests on it, as the count of orders is not known again before a report (see [`OrderCount`]).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Doubt {
     /// Reports of this time or later tell.
     pub report_from: Millis,
     /// Heartbeats of this time or later tell.
     pub heartbeat_from: Millis,
+    /// Reports with this count of orders, or a higher one, tell at any time.
+    pub count_from: Option<u64>,
 }
 
 /// A place kept for a model that is to be loaded once there is room.
@@ -124,20 +134,22 @@
     pub in_flight: Option<InFlight>,
     /// The model that it is being emptied for.
     pub reserved: Option<Reservation>,
-    /// Orders taken, as far as they are known.
-    pub revision: Option<u64>,
+    /// How many orders it has taken. What it may hold is known for that count.
+    pub count: OrderCount,
     /// What is not known.
     pub doubt: Option<Doubt>,
     held_before: BTreeSet<ModelId>,
     heartbeat: Option<u64>,
     blocked_until: Millis,
-    last_answer: Millis,
+    /// Whether an order waits for the count.
+    awaits_count: bool,
     asked: Millis,
     ask_again: Millis,
 }
 
 impl Server {
-    /// A server that was not known. `doubt` covers what a former holder may have ordered.
+    /// A server that was not known. `doubt` covers what a former holder may have ordered; if it has ordered anything,
+    /// the server refuses the first order, and a report tells.
     pub fn new(id: ServerId, doubt: Doubt) -> Self {
         Server {
             id,
@@ -147,21 +159,26 @@
             holding: Holding::default(),
             in_flight: None,
             reserved: None,
-            revision: None,
+            count: OrderCount::UNTOUCHED,
             doubt: Some(doubt),
             held_before: BTreeSet::new(),
             heartbeat: None,
             blocked_until: 0,
-            last_answer: 0,
+            awaits_count: false,
             asked: 0,
             ask_again: ASK_AGAIN,
         }
     }
 
-    /// Forgets what this planner itself had under way there, for the beginning of a turn.
+    /// Forgets what this planner itself had under way there, for the beginning of a turn. Without `doubt` nobody has
+    /// ordered anything before.
     pub fn start_over(&mut self, doubt: Option<Doubt>) {
-        (self.in_flight, self.reserved, self.revision) = (None, None, None);
+        (self.in_flight, self.reserved, self.awaits_count) = (None, None, false);
         (self.doubt, self.blocked_until, self.asked, self.ask_again) = (doubt, 0, 0, ASK_AGAIN);
+        match doubt {
+            Some(_) => self.count.forget(),
+            None => self.count = OrderCount::UNTOUCHED,
+        }
     }
 
     /// Whether requests may go there.
@@ -180,11 +197,7 @@
 
     /// Whether it holds something that is not about to go.
     pub fn serves(&self, item: Item) -> bool {
-        let leaves = |order: &InFlight| {
-            order.operation == Operation::Evict
-                && (order.item == item || order.item == Item { adapter: None, ..item })
-        };
-        self.holding.has(item) && !self.in_flight.as_ref().is_some_and(leaves)
+        self.holding.has(item) && !self.in_flight.as_ref().is_some_and(|order| order.evicts(item))
     }
 
     /// Whether something is on its way there.
@@ -216,58 +229,55 @@
         // A server that does not say what it holds cannot be ordered anything.
         let Some(listed) = listed else { return true };
         self.heartbeat = Some(sequence);
-        self.absorb(now, listed, Source::Heartbeat);
+        self.note_disk(listed);
+        let dropped = self.holding.absorb(now, listed, Source::Heartbeat);
+        if !self.is_evicting_all(&dropped) {
+            // It may be older than the orders that it contradicts.
+            self.count.forget();
+        }
+        self.end_order_by_contents();
         if self.doubt.is_some_and(|doubt| now >= doubt.heartbeat_from) {
             self.doubt = None;
         }
         true
     }
 
-    /// Takes over a report.
-    pub fn report(&mut self, now: Millis, sequence: u64, busy: bool, listed: &[Listed]) {
-        if self.in_flight.as_ref().is_some_and(|order| order.accepted.is_none()) {
-            return self.absorb(now, listed, Source::StaleReport);
-        }
-        // While it is busy a report may be from the midst of an order whose end a heartbeat has told since.
-        let counted = self.revision.is_some_and(|revision| sequence >= revision);
-        let current = counted || now >= self.last_answer.saturating_add(REPORT_LAG * 2);
-        let taken = self.revision.is_some_and(|revision| sequence > revision);
-        let telling = self.doubt.is_none_or(|doubt| taken || now >= doubt.report_from);
-        if busy || !current || !telling {
-            self.absorb(now, listed, Source::StaleReport);
-            return self.see_evicted(busy, listed);
-        }
-        self.doubt = None;
-        self.revision = Some(sequence);
-        self.absorb(now, listed, Source::FreshReport);
-        // Carried out or failed: either way the list tells.
-        self.in_flight = None;
+    /// Whether all of this goes by the eviction that is under way. The next order is refused until that has ended, so
+    /// that it does no harm if the heartbeat is older than it seems.
+    fn is_evicting_all(&self, dropped: &Dropped) -> bool {
+        let eviction = self.in_flight.as_ref().filter(|order| order.accepted.is_some());
+        let goes = |item: &Item| eviction.is_some_and(|order| order.evicts(*item));
+        !dropped.nameless && dropped.items.iter().all(goes)
     }
 
-    /// An eviction of what a heartbeat had listed is over when even an older list lacks it.
-    fn see_evicted(&mut self, busy: bool, listed: &[Listed]) {
-        let Some(order) = self.in_flight.as_ref().filter(|order| order.operation == Operation::Evict) else {
-            return;
+    /// Ends an accepted order whose effect is there.
+    fn end_order_by_contents(&mut self) {
+        let holding = &self.holding;
+        let done = |order: &mut InFlight| {
+            order.accepted.is_some() && holding.has(order.item) == (order.operation == Operation::Load)
         };
-        let item = order.item;
-        let lacks = !listed.iter().any(|entry| entry.holds(item));
-        if !busy && lacks && self.holding.is_listed(item) {
-            self.holding.remove(item);
-            self.in_flight = None;
+        self.in_flight.take_if(done);
+    }
+
+    /// Takes over a report: what the server held once it had taken so many orders, and whether the last of them is
+    /// still under way.
+    pub fn report(&mut self, now: Millis, count: u64, busy: bool, listed: &[Listed]) {
+        self.note_disk(listed);
+        let unanswered = self.in_flight.as_ref().is_some_and(|order| order.accepted.is_none());
+        let tells =
+            |doubt: Doubt| now >= doubt.report_from || doubt.count_from.is_some_and(|from| count >= from);
+        if unanswered || busy || self.count.is_beyond(count) || !self.doubt.is_none_or(tells) {
+            return;
         }
+        self.holding.absorb(now, listed, Source::Report);
+        self.count.tell(count);
+        // Carried out or failed: either way the list tells.
+        (self.doubt, self.in_flight, self.awaits_count) = (None, None, false);
     }
 
-    fn absorb(&mut self, now: Millis, listed: &[Listed], source: Source) {
-        self.holding.absorb(now, listed, source);
-        // Only what a message lists has surely been there: an unanswered load may never have begun.
+    /// Only what a message lists has surely been there: an unanswered load may never have begun.
+    fn note_disk(&mut self, listed: &[Listed]) {
         self.held_before.extend(listed.iter().filter_map(|entry| entry.model));
-        let holding = &self.holding;
-        let done = |order: &InFlight| {
-            order.accepted.is_some() && holding.has(order.item) == (order.operation == Operation::Load)
-        };
-        if self.in_flight.as_ref().is_some_and(done) {
-            self.in_flight = None;
-        }
     }
 
     /// Notes an order that is sent.
@@ -279,20 +289,20 @@
 
     /// The order was taken.
     pub fn accepted(&mut self, now: Millis) {
-        self.revision = self.revision.map(|revision| revision + 1);
-        self.last_answer = now;
         if let Some(order) = &mut self.in_flight {
             order.accepted = Some(now);
+            self.count.taken(order.named);
         }
     }
 
-    /// The server says that there is nothing to do.
+    /// The server says that there is nothing to do: what was known of it was wrong.
     pub fn already(&mut self, now: Millis) {
-        self.revision = None;
-        self.last_answer = now;
         let Some(order) = self.in_flight.take() else { return };
         match order.operation {
-            Operation::Load => self.holding.add(now, order.item),
+            Operation::Load => {
+                self.holding.add(now, order.item);
+                self.count.forget();
+            }
             Operation::Evict => self.doubt_now(now, REPORT_LAG),
         }
     }
@@ -306,7 +316,6 @@
     /// Another order is under way, or the count of orders is another one: something was not known.
     pub fn busy(&mut self, now: Millis) {
         self.in_flight = None;
-        self.revision = None;
         self.doubt_now(now, REPORT_LAG);
     }
 
@@ -317,15 +326,19 @@
             self.holding.add(now, order.item);
         }
         let settled = order.sent.saturating_add(BEGUN_WITHIN);
+        self.count.forget();
         self.doubt = Some(Doubt {
             report_from: settled.max(now).saturating_add(REPORT_LAG),
             heartbeat_from: settled + (order.takes as f64 * SLOWEST_LOAD) as Millis + ORDER_SLACK,
+            count_from: Some(order.named.saturating_add(1)),
         });
     }
 
     fn doubt_now(&mut self, now: Millis, report_after: Millis) {
         let heartbeat_from = now.saturating_add(SLOWEST_EVICTION);
-        self.doubt = Some(Doubt { report_from: now.saturating_add(report_after), heartbeat_from });
+        let report_from = now.saturating_add(report_after);
+        self.count.forget();
+        self.doubt = Some(Doubt { report_from, heartbeat_from, count_from: None });
     }
 
     /// Ends what time alone ends.
@@ -349,13 +362,21 @@
         }
     }
 
+    /// Notes that an order waits for the count, which a report has to tell.
+    pub fn await_count(&mut self) {
+        if !self.awaits_count {
+            (self.awaits_count, self.asked, self.ask_again) = (true, 0, ASK_AGAIN);
+        }
+    }
+
     /// Whether a report would tell something that is waited for. `wanted` says that the server could be used.
     /// Asking again takes longer each time.
     pub fn wants_report(&mut self, now: Millis, wanted: bool) -> bool {
         let due = match (&self.in_flight, self.doubt) {
             (Some(order), _) => order.accepted.map(|accepted| accepted + order.takes + REPORT_SOON),
-            (None, Some(doubt)) if wanted => Some(doubt.report_from),
-            _ => None,
+            (None, Some(doubt)) if wanted || self.awaits_count => Some(doubt.report_from),
+            (None, None) if self.awaits_count => Some(now),
+            (None, _) => None,
         };
         let due = self.is_ready() && due.is_some_and(|due| now >= due);
         if !due || (self.asked != 0 && now < self.asked.saturating_add(self.ask_again)) {
--- a/placement/tests/adapters.rs
+++ b/placement/tests/adapters.rs
@@ -10,7 +10,7 @@
     let mut story = Story::new(3, &[&["m0"], &["m1"], &["m0"]]);
     story.ask(&[for_adapter("a3", waiting("m0"))]);
     let orders = story.orders();
-    assert!(orders == ["s0 load m0/a3"] || orders == ["s2 load m0/a3"], "{orders:?}");
+    assert!(orders == ["s0 load m0/a3 at 0"] || orders == ["s2 load m0/a3 at 0"], "{orders:?}");
     let server = if orders[0].starts_with("s0") { 0 } else { 2 };
     story.outcome(server, Outcome::Accepted);
     story.ask(&[for_adapter("a3", demand("m0"))]);
@@ -37,10 +37,10 @@
     story.ask(&[for_adapter("a3", demand("m1"))]);
     story.now += 1_500;
     story.ask(&[for_adapter("a9", waiting("m0"))]);
-    assert_eq!(story.orders(), ["s0 evict m0/a2"]);
+    assert_eq!(story.orders(), ["s0 evict m0/a2 at 0"]);
     story.outcome(0, Outcome::Accepted);
     story.heartbeat(0, &["m0/a1", "m1/a3"]);
-    assert_eq!(story.after(100), ["s0 load m0/a9"]);
+    assert_eq!(story.after(100), ["s0 load m0/a9 at 1"]);
 }
 
 #[test]
@@ -55,5 +55,5 @@
     let mut story = Story::new(3, &[&["m0/a1/a2", "m1"]]);
     story.planner.set_catalogue(roomy);
     story.ask(&[waiting("m2")]);
-    assert_eq!(story.orders(), ["s0 load m2"]);
+    assert_eq!(story.orders(), ["s0 load m2 at 0"]);
 }
--- a/placement/tests/common/story.rs
+++ b/placement/tests/common/story.rs
@@ -1,6 +1,8 @@
 //! A planner that is told one message after the other, and its orders in words.
 
-use shaletrail_placement::{Catalogue, ModelSpec, Options, Outcome, PlannedOrder, Planner};
+use std::collections::BTreeMap;
+
+use shaletrail_placement::{Catalogue, ModelSpec, Options, OrderNumber, Outcome, PlannedOrder, Planner};
 use shaletrail_protocol::inside::{Demand, Presence, ServerRecord};
 use shaletrail_protocol::outside::{Heartbeat, HeldModel, Report};
 use shaletrail_protocol::{Millis, NodeId};
@@ -47,19 +49,26 @@
     pub planner: Planner,
     pub now: Millis,
     pub beats: u64,
+    /// The newest order to each server.
+    pub newest: BTreeMap<String, OrderNumber>,
 }
 
 impl Story {
     /// A planner that took over long ago, with servers that hold two models each.
     pub fn new(models: usize, servers: &[&[&str]]) -> Story {
         let planner = Planner::new("s".into(), catalogue(models), Options::default(), 0);
-        let mut story = Story { planner, now: LATE, beats: 0 };
+        let mut story = Story::of(planner);
         for (index, models) in servers.iter().enumerate() {
             story.heartbeat(index, models);
         }
         story
     }
 
+    /// A planner that knows no servers yet.
+    pub fn of(planner: Planner) -> Story {
+        Story { planner, now: LATE, beats: 0, newest: BTreeMap::new() }
+    }
+
     pub fn record(&mut self, server: usize, models: &[&str], presence: Presence) -> ServerRecord {
         self.beats += 1;
         let heartbeat = Heartbeat {
@@ -93,7 +102,8 @@
     }
 
     pub fn outcome(&mut self, server: usize, outcome: Outcome) {
-        self.planner.outcome(self.now, &id(server), outcome);
+        let number = self.newest[&id(server)];
+        self.planner.outcome(self.now, &id(server), number, outcome);
     }
 
     pub fn after(&mut self, span: Millis) -> Vec<String> {
@@ -105,10 +115,11 @@
     pub fn orders(&mut self) -> Vec<String> {
         let words = |order: PlannedOrder| {
             let adapter = order.adapter.map(|adapter| format!("/{adapter}")).unwrap_or_default();
-            let revision = order.if_revision.map(|revision| format!(" at {revision}")).unwrap_or_default();
-            format!("{} {} {}{adapter}{revision}", order.server, order.operation, order.model)
+            format!("{} {} {}{adapter} at {}", order.server, order.operation, order.model, order.if_revision)
         };
-        self.planner.next_orders(self.now).into_iter().map(words).collect()
+        let orders = self.planner.next_orders(self.now);
+        self.newest.extend(orders.iter().map(|order| (order.server.clone(), order.number)));
+        orders.into_iter().map(words).collect()
     }
 }
 
--- a/placement/tests/common/world.rs
+++ b/placement/tests/common/world.rs
@@ -5,7 +5,7 @@
 use super::servers::{catalogue, list, Held, Running, SimulatedServer};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use shaletrail_placement::{Catalogue, Options, Outcome, PlannedOrder, Planner};
+use shaletrail_placement::{Catalogue, Options, OrderNumber, Outcome, PlannedOrder, Planner};
 use shaletrail_protocol::inside::{Demand, Presence, ServerRecord};
 use shaletrail_protocol::outside::{Heartbeat, Operation, Report, ServerState};
 use shaletrail_protocol::{Millis, NodeId};
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 enum Event {
     Order(PlannedOrder, bool),
-    Outcome(String, Outcome),
+    Outcome(String, OrderNumber, Outcome),
     Heartbeat(ServerRecord),
     Report(String, Report),
 }
@@ -238,9 +238,9 @@
         while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= self.now) {
             match entry.remove() {
                 Event::Order(order, answered) => self.take(order, answered),
-                Event::Outcome(id, outcome) => {
+                Event::Outcome(id, number, outcome) => {
                     self.note(&id, format!("answered {outcome}"));
-                    self.planner.outcome(self.now, &id, outcome);
+                    self.planner.outcome(self.now, &id, number, outcome);
                 }
                 Event::Heartbeat(record) => self.tell(&record),
                 Event::Report(id, report) => {
@@ -274,9 +274,9 @@
             let arrives = self.now + self.random.random_range(1..late);
             let timeout = self.now + ANSWER_WITHIN;
             if self.chance(self.faults.order_lost) {
-                self.at(timeout, Event::Outcome(order.server, Outcome::Unknown));
+                self.at(timeout, Event::Outcome(order.server, order.number, Outcome::Unknown));
             } else if self.chance(self.faults.answer_lost) {
-                self.at(timeout, Event::Outcome(order.server.clone(), Outcome::Unknown));
+                self.at(timeout, Event::Outcome(order.server.clone(), order.number, Outcome::Unknown));
                 self.at(arrives, Event::Order(order, false));
             } else {
                 self.at(arrives, Event::Order(order, true));
@@ -303,7 +303,7 @@
         self.note(&order.server, format!("taken as {outcome}: {} {}", order.operation, order.model));
         if answered {
             let answer = self.now + self.random.random_range(1..60);
-            self.at(answer, Event::Outcome(order.server, outcome));
+            self.at(answer, Event::Outcome(order.server, order.number, outcome));
         }
     }
 
@@ -327,7 +327,7 @@
         else {
             return self.nobody_there(&order.server);
         };
-        if server.running.is_some() || order.if_revision.is_some_and(|expected| expected != server.sequence) {
+        if server.running.is_some() || order.if_revision != server.sequence {
             return Outcome::Busy;
         }
         let held = server.held.get(&order.model);
--- a/placement/tests/reports.rs
+++ b/placement/tests/reports.rs
@@ -9,7 +9,7 @@
     // given
     let mut story = Story::new(4, &[&["m0"]]);
     story.ask(&[waiting("m1")]);
-    assert_eq!(story.orders(), ["s0 load m1"]);
+    assert_eq!(story.orders(), ["s0 load m1 at 0"]);
 
     // when: what it says may be from before the order
     story.report(0, 0, false, &["m0"]);
--- a/placement/tests/room.rs
+++ b/placement/tests/room.rs
@@ -9,13 +9,9 @@
 /// Long after the time that a former holder's loads should take.
 const LONG_AFTER: Millis = 30_000;
 
-/// Whether an order, in words, names the count of orders at which it holds.
-fn is_guarded(order: &str) -> bool {
-    order.contains(" at ")
-}
-
 #[test]
-fn given_a_load_of_the_former_holder_under_way_when_heartbeats_come_long_after_then_no_load_is_unguarded() {
+fn given_a_load_of_the_former_holder_under_way_when_heartbeats_come_long_after_then_only_a_report_frees_room()
+{
     // given: the former holder's load of another model has not ended, and no heartbeat tells of it
     let mut story = Story::new(4, &[&["m0"]]);
     story.planner.take_over(story.now, Some(story.now));
@@ -26,10 +22,14 @@
 
     // when
     story.ask(&[waiting("m2")]);
-    let orders = story.orders();
+    assert_eq!(story.orders(), [""; 0]);
+    assert_eq!(story.planner.next_reports(story.now), ["s0"]);
+    story.report(0, 4, true, &["m0"]);
+    assert_eq!(story.after(100), [""; 0]);
+    story.report(0, 4, false, &["m0", "m1"]);
 
     // then
-    assert!(orders.iter().all(|order| is_guarded(order)), "{orders:?}");
+    assert_eq!(story.after(100), ["s0 evict m0 at 4"]);
 }
 
 #[test]
--- a/placement/tests/stories.rs
+++ b/placement/tests/stories.rs
@@ -11,7 +11,7 @@
     for model in ["m0", "m1", "m2", "m3"] {
         let mut story = Story::new(4, &[&[], &[], &[], &[], &[]]);
         story.ask(&[waiting(model)]);
-        assert_eq!(story.orders(), [format!("{} load {model}", sequence(model, 5)[0])]);
+        assert_eq!(story.orders(), [format!("{} load {model} at 0", sequence(model, 5)[0])]);
         assert_eq!(story.after(100), [""; 0]);
     }
 }
@@ -31,19 +31,19 @@
     story.orders();
     story.now += 2_000;
     story.ask(&[waiting("m2")]);
-    assert_eq!(story.orders(), ["s0 evict m1"]);
+    assert_eq!(story.orders(), ["s0 evict m1 at 0"]);
     story.outcome(0, Outcome::Accepted);
     // Until the eviction is seen to be over nothing more is ordered.
     assert_eq!(story.after(200), [""; 0]);
     story.heartbeat(0, &["m0"]);
-    assert_eq!(story.after(100), ["s0 load m2"]);
+    assert_eq!(story.after(100), ["s0 load m2 at 1"]);
 }
 
 #[test]
 fn given_an_eviction_under_way_when_its_end_is_due_then_a_report_is_asked_and_tells() {
     let mut story = Story::new(3, &[&["m0", "m1"]]);
     story.ask(&[waiting("m2")]);
-    assert_eq!(story.orders(), ["s0 evict m0"]);
+    assert_eq!(story.orders(), ["s0 evict m0 at 0"]);
     story.now += 20;
     story.outcome(0, Outcome::Accepted);
     assert_eq!(story.planner.next_reports(story.now), [""; 0]);
@@ -54,7 +54,7 @@
     assert_eq!(story.after(100), [""; 0]);
     story.report(0, 1, false, &["m1"]);
     story.ask(&[waiting("m2")]);
-    assert_eq!(story.after(100), ["s0 load m2"]);
+    assert_eq!(story.after(100), ["s0 load m2 at 1"]);
 }
 
 #[test]
@@ -66,7 +66,7 @@
         story.now += 6_000;
     }
     story.ask(&[waiting("m4")]);
-    assert_eq!(story.orders(), ["s1 evict m2"]);
+    assert_eq!(story.orders(), ["s1 evict m2 at 0"]);
 }
 
 #[test]
@@ -82,7 +82,7 @@
 {
     let mut story = Story::new(4, &[&["m0"]]);
     story.ask(&[waiting("m1")]);
-    assert_eq!(story.orders(), ["s0 load m1"]);
+    assert_eq!(story.orders(), ["s0 load m1 at 0"]);
     story.now += 1_000;
     story.outcome(0, Outcome::Unknown);
     story.ask(&[waiting("m1"), waiting("m2")]);
@@ -104,7 +104,7 @@
 fn given_an_order_without_an_answer_that_was_not_taken_when_a_report_tells_then_it_is_given_again() {
     let mut story = Story::new(4, &[&["m0"]]);
     story.ask(&[waiting("m1")]);
-    assert_eq!(story.orders(), ["s0 load m1"]);
+    assert_eq!(story.orders(), ["s0 load m1 at 0"]);
     story.outcome(0, Outcome::Unknown);
     story.now += 2_100;
     story.report(0, 3, false, &["m0"]);
@@ -130,7 +130,7 @@
 fn given_a_planner_that_has_just_taken_over_when_many_models_wait_then_loads_begin_at_the_rate_of_the_store()
 {
     let planner = Planner::new("s".into(), catalogue(8), Options::default(), LATE);
-    let mut story = Story { planner, now: LATE, beats: 0 };
+    let mut story = Story::of(planner);
     let all: Vec<_> = (0..8).map(|index| waiting(&format!("m{index}"))).collect();
     (0..8).for_each(|server| story.heartbeat(server, &[]));
     story.now += 500;
@@ -146,7 +146,7 @@
 fn given_a_server_that_is_busy_with_something_unknown_when_planned_then_it_is_asked_before_the_next_order() {
     let mut story = Story::new(4, &[&[]]);
     story.ask(&[waiting("m1")]);
-    assert_eq!(story.orders(), ["s0 load m1"]);
+    assert_eq!(story.orders(), ["s0 load m1 at 0"]);
     story.outcome(0, Outcome::Busy);
     assert_eq!(story.after(100), [""; 0]);
     story.now += 500;
@@ -164,10 +164,10 @@
     let mut story = Story::new(2, &[&[], &[]]);
     let order = sequence("m0", 2);
     story.ask(&[waiting("m0")]);
-    assert_eq!(story.orders(), [format!("{} load m0", order[0])]);
+    assert_eq!(story.orders(), [format!("{} load m0 at 0", order[0])]);
     let first = if order[0] == "s0" { 0 } else { 1 };
     story.outcome(first, Outcome::NotSent);
-    assert_eq!(story.after(100), [format!("{} load m0", order[1])]);
+    assert_eq!(story.after(100), [format!("{} load m0 at 0", order[1])]);
 }
 
 #[test]
@@ -175,11 +175,11 @@
     let mut story = Story::new(3, &[&["m0"], &["m1"]]);
     story.ask(&[demand("m0"), waiting("m2")]);
     let ordered = story.orders();
-    let gone = if ordered == ["s0 load m2"] { 0 } else { 1 };
+    let gone = if ordered == ["s0 load m2 at 0"] { 0 } else { 1 };
     story.outcome(gone, Outcome::Gone);
     story.ask(&[waiting("m0"), demand("m1"), waiting("m2")]);
     let other = 1 - gone;
-    assert_eq!(story.after(100), [format!("s{other} load {}", if gone == 0 { "m0" } else { "m2" })]);
+    assert_eq!(story.after(100), [format!("s{other} load {} at 0", if gone == 0 { "m0" } else { "m2" })]);
     assert!(story.planner.wanted().iter().all(|wanted| wanted.server != id(gone)));
 }
 
@@ -190,7 +190,7 @@
         story.ask(&[demand("m0")]);
         assert_eq!(story.orders(), [""; 0]);
         story.presence(0, &["m0"], presence);
-        assert_eq!(story.after(100), ["s1 load m0"]);
+        assert_eq!(story.after(100), ["s1 load m0 at 0"]);
     }
 }
 
@@ -229,15 +229,15 @@
 fn given_open_requests_beyond_the_ease_of_a_server_when_planned_then_another_replica_is_loaded() {
     let mut story = Story::new(2, &[&["m0"], &[]]);
     story.ask(&[Demand { open: 40, ..demand("m0") }]);
-    assert_eq!(story.orders(), ["s1 load m0"]);
+    assert_eq!(story.orders(), ["s1 load m0 at 0"]);
 }
 
 #[test]
 fn given_a_model_that_the_server_held_when_it_is_loaded_again_then_it_does_not_count_at_the_store() {
     let mut story = Story::new(3, &[&["m0"]]);
-    story.heartbeat(0, &[]);
+    story.report(0, 1, false, &[]);
     story.ask(&[waiting("m0")]);
-    assert_eq!(story.orders(), ["s0 load m0"]);
+    assert_eq!(story.orders(), ["s0 load m0 at 1"]);
     assert_eq!((story.planner.figures().loads, story.planner.figures().disk_loads), (0, 1));
 }
 
@@ -246,7 +246,7 @@
 ) {
     let mut planner = Planner::new("s".into(), catalogue(3), Options::default(), LATE);
     planner.set_catalogue(catalogue(3));
-    let mut story = Story { planner, now: LATE, beats: 0 };
+    let mut story = Story::of(planner);
     story.heartbeat(0, &[]);
     story.ask(&[waiting("m0")]);
     assert_eq!(story.after(400), [""; 0]);
@@ -262,17 +262,13 @@
 #[test]
 fn given_a_planner_that_has_just_taken_over_when_no_request_waits_then_heartbeats_end_the_doubt_without_reports(
 ) {
-    let mut story = Story {
-        planner: Planner::new("s".into(), catalogue(3), Options::default(), LATE),
-        now: LATE,
-        beats: 0,
-    };
+    let mut story = Story::of(Planner::new("s".into(), catalogue(3), Options::default(), LATE));
     story.heartbeat(0, &[]);
     story.now += 8_000;
     story.heartbeat(0, &[]);
     assert_eq!(story.planner.next_reports(story.now), [""; 0]);
     story.ask(&[waiting("m0")]);
-    assert_eq!(story.orders(), ["s0 load m0"]);
+    assert_eq!(story.orders(), ["s0 load m0 at 0"]);
 }
 
 #[test]
@@ -288,7 +284,7 @@
 fn given_a_load_that_a_report_confirmed_when_older_heartbeats_arrive_then_the_model_still_counts() {
     let mut story = Story::new(4, &[&["m0"]]);
     story.ask(&[waiting("m1")]);
-    assert_eq!(story.orders(), ["s0 load m1"]);
+    assert_eq!(story.orders(), ["s0 load m1 at 0"]);
     story.outcome(0, Outcome::Accepted);
     story.now += 2_300;
     story.report(0, 1, false, &["m0", "m1"]);
@@ -317,7 +313,7 @@
 fn given_a_model_that_the_configuration_does_not_name_when_room_is_needed_then_it_goes_first() {
     let mut story = Story::new(3, &[&["m0", "old"]]);
     story.ask(&[waiting("m1")]);
-    assert_eq!(story.orders(), ["s0 evict old"]);
+    assert_eq!(story.orders(), ["s0 evict old at 0"]);
 }
 
 #[test]
