--- a/simulation/tests/orders.rs
+++ b/simulation/tests/orders.rs
@@ -11,6 +11,8 @@
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
 /// `loadTimeS` of the usual site, in milliseconds.
 const LOAD_TIME: u64 = 600;
+/// Other loads from the weight store, which slow each one.
+const CROWDED: u32 = 120;
 
 /// A fleet whose holder has been at work for long enough to know what it may load.
 fn settled(seed: u64) -> Fleet {
@@ -182,3 +184,38 @@
         fleet.check();
     }
 }
+
+#[test]
+fn given_a_load_that_outlasts_a_change_of_holder_when_it_has_just_ended_then_its_room_is_not_given_away() {
+    for seed in SEEDS {
+        // given: a server with room for one more model loads it while the store is crowded, and the holder is lost
+        let mut fleet =
+            Fleet::ready(FleetOptions { holds: vec![vec![0, 1]], seed, ..FleetOptions::default() });
+        fleet.run(10_000);
+        fleet.world.loading = CROWDED;
+        let edge = fleet.edges()[0];
+        fleet.ask_model(edge, ONCE, 4, None);
+        let begun = fleet.run_until(2_000, |fleet| !fleet.world.witness.loads.is_empty());
+        assert!(begun, "{}", fleet.describe());
+        let first = holder(&fleet);
+        fleet.lose_power(first);
+
+        // when: another model is asked for before a heartbeat tells of the load's end
+        let server = site::server(0);
+        let ends =
+            |fleet: &Fleet| fleet.server(server).is_some_and(|server| server.held().contains_key("m4"));
+        assert!(fleet.run_until(120_000, ends), "{}", fleet.describe());
+        fleet.world.loading = 0;
+        let mut requests = Vec::new();
+        for _ in 0..40 {
+            requests.push(fleet.ask_model(edge, AGAIN, 5, None));
+            fleet.run(200);
+        }
+        fleet.run(2_000);
+
+        // then
+        fleet.check();
+        let last = *requests.last().expect("requests were made");
+        assert_eq!(fleet.status(last), Some(200), "{}", fleet.describe());
+    }
+}
