--- a/coordinator/src/core/orders.rs
+++ b/coordinator/src/core/orders.rs
@@ -206,11 +206,13 @@
 
     /// A server's report has come, or none has.
     pub fn reported(&mut self, now: Millis, server: &ServerId, report: Option<Report>) {
-        let Some(report) = report else { return };
         // Orders may wait for it.
         self.next_plan = now;
         for planner in self.planners.values_mut() {
-            planner.report(now, server, &report);
+            match &report {
+                Some(report) => planner.report(now, server, report),
+                None => planner.unreported(now, server),
+            }
         }
     }
 
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -7,8 +7,9 @@
 //! How it decides, in the order of the modules:
 //! - [`rate`] and `demand` smooth what edges report;
 //! - `target` turns that into a number of replicas for each model;
-//! - `holding` and `server` keep what a server may hold, counting every order whose effect is not known, and
-//!   `order_count` keeps for how many orders that is true: each order names it;
+//! - `holding` and `server` keep what a server may hold, counting every order whose effect is not known: `in_flight`
+//!   is an order under way, `doubt` what is not known;
+//! - `order_count` keeps for how many orders of a server that holds: each order names it;
 //! - [`origin`] keeps loads from the weight store within their rate;
 //! - `needs`, `choice`, `adapters` and `rounds` find the missing replicas, the server for each, and what gives way.
 //!
@@ -23,7 +24,9 @@
 pub mod catalogue;
 mod choice;
 mod demand;
+mod doubt;
 mod holding;
+mod in_flight;
 mod model;
 mod needs;
 mod options;
--- a/placement/src/planner.rs
+++ b/placement/src/planner.rs
@@ -10,18 +10,17 @@
 use crate::catalogue::{adapter_name, adapter_number, Catalogue};
 use crate::choice::ServerKey;
 use crate::demand::Sources;
+use crate::doubt::Doubt;
 use crate::holding::Listed;
+use crate::in_flight::InFlight;
+pub use crate::in_flight::OrderNumber;
 use crate::model::{Item, ModelId, ModelTable};
 use crate::options::Options;
 use crate::origin::OriginBudget;
-pub use crate::server::OrderNumber;
-use crate::server::{Doubt, InFlight, Server, REPORT_LAG};
+use crate::server::Server;
 
 /// Servers that are kept at most.
 const MOST_SERVERS: usize = 4_096;
-/// A former holder's orders are done this long after this many times the longest load, in milliseconds.
-const FORMER_SLACK: Millis = 4_000;
-const FORMER_LOADS: f64 = 2.0;
 /// Pauses before the next order to a server that did not take one, in milliseconds.
 const PAUSE_UNREACHABLE: Millis = 1_000;
 const PAUSE_REJECTED: Millis = 5_000;
@@ -117,19 +116,12 @@
     pub(crate) figures: Figures,
 }
 
-/// When it shows what a former holder has ordered until a moment.
-fn former_orders(catalogue: &Catalogue, until: Millis) -> Doubt {
-    let slowest = catalogue.models.iter().map(|model| model.load_time_s).fold(0.0, f64::max);
-    let loads_over = (slowest.clamp(0.0, 3_600.0) * FORMER_LOADS * 1_000.0) as Millis + FORMER_SLACK;
-    Doubt { report_from: until + REPORT_LAG, heartbeat_from: until + loads_over, count_from: None }
-}
-
 impl Planner {
     /// A planner that takes over at this moment: the lease of a former holder is over, what it has ordered is
     /// not known, and it may have used up the store's rate.
     pub fn new(service: String, catalogue: Catalogue, options: Options, now: Millis) -> Self {
         let origin = OriginBudget::used_up(now, options.origin_window, catalogue.load_per_s);
-        let former = former_orders(&catalogue, now);
+        let former = Doubt::of_former_orders(&catalogue, now);
         let mut models = ModelTable::default();
         models.set_catalogue(&catalogue);
         Planner {
@@ -158,12 +150,9 @@
         let (window, rate) = (self.options.origin_window, self.catalogue.load_per_s);
         (self.origin, self.former) = match former_until {
             Some(until) => {
-                (OriginBudget::used_up(until, window, rate), former_orders(&self.catalogue, until))
+                (OriginBudget::used_up(until, window, rate), Doubt::of_former_orders(&self.catalogue, until))
             }
-            None => (
-                OriginBudget::unused(window, rate),
-                Doubt { report_from: now, heartbeat_from: now, count_from: None },
-            ),
+            None => (OriginBudget::unused(window, rate), Doubt::ended(now)),
         };
         let doubt = former_until.map(|_| self.former);
         self.servers.values_mut().for_each(|server| server.start_over(doubt));
@@ -246,6 +235,14 @@
         self.changed = true;
     }
 
+    /// A server was asked for its report, and none came.
+    pub fn unreported(&mut self, now: Millis, id: &ServerId) {
+        if let Some(server) = self.server_mut(id) {
+            server.unreported(now, PAUSE_UNREACHABLE);
+            self.changed = true;
+        }
+    }
+
     /// Takes over how an order to a server ended, if it is still outstanding.
     pub fn outcome(&mut self, now: Millis, id: &ServerId, number: OrderNumber, outcome: Outcome) {
         let Some(server) = self.keys.get(id).and_then(|key| self.servers.get_mut(key)) else { return };
--- a/placement/src/rounds.rs
+++ b/placement/src/rounds.rs
@@ -6,10 +6,11 @@
 use crate::adapters;
 use crate::catalogue::adapter_name;
 use crate::choice::{surplus, work, Scene, ServerKey};
+use crate::in_flight::{InFlight, OrderNumber};
 use crate::model::{Item, ModelId};
 use crate::needs::{needs, Need, Tally, Urgency};
 use crate::planner::{PlannedOrder, Planner};
-use crate::server::{InFlight, OrderNumber, Reservation, Server};
+use crate::server::{Reservation, Server};
 
 /// Milliseconds after which a round is due even if nothing has changed.
 const QUIET_ROUND: Millis = 1_000;
--- a/placement/src/server.rs
+++ b/placement/src/server.rs
@@ -6,106 +6,23 @@
 use shaletrail_protocol::outside::Operation;
 use shaletrail_protocol::{Millis, ServerId};
 
+use crate::doubt::{Doubt, REPORT_LAG};
 use crate::holding::{Dropped, Holding, Listed, Source};
+use crate::in_flight::InFlight;
 use crate::model::{Item, ModelId, ModelTable};
 use crate::needs::Urgency;
 use crate::order_count::OrderCount;
-use crate::origin::{LoadToken, BEGUN_WITHIN};
 
-/// How old the values of a report may be, in milliseconds.
-pub const REPORT_LAG: Millis = 500;
-/// A load counts as likely done this long after the time that it should take, in milliseconds.
-const LOADED_MARGIN: Millis = 20;
 /// When a report shows the end of an order that takes no time, in milliseconds after its answer.
 const REPORT_SOON: Millis = 250;
 /// An adapter is there within this time after the order was taken, in milliseconds.
 const ADAPTER_SETTLES: Millis = 50;
 /// An order without any outcome after this time counts as unanswered, in milliseconds.
 const OUTCOME_WITHIN: Millis = 5_000;
-/// A load takes at most this many times its usual time, plus [`ORDER_SLACK`].
-const SLOWEST_LOAD: f64 = 4.0;
-/// Milliseconds.
-const ORDER_SLACK: Millis = 4_000;
-/// An unload waits for its runs, at most for this time, in milliseconds.
-const SLOWEST_EVICTION: Millis = 30_000;
-/// A load from the server's own disk takes this part of one from the store.
-const DISK_PART: f64 = 0.2;
 /// First and longest wait between two reports of one server, in milliseconds.
 const ASK_AGAIN: Millis = 250;
 const ASK_AGAIN_MOST: Millis = 2_400;
 
-/// Names an order of one planner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct OrderNumber(pub u64);
-
-/// An order that was sent and whose effect is not yet seen.
-#[derive(Clone, Debug)]
-pub struct InFlight {
-    /// Its name.
-    pub number: OrderNumber,
-    /// The count of orders that it names.
-    pub named: u64,
-    /// What was ordered.
-    pub operation: Operation,
-    /// Of what.
-    pub item: Item,
-    /// When it was planned.
-    pub sent: Millis,
-    /// When the server said that it carries it out.
-    pub accepted: Option<Millis>,
-    /// What it counts as at the weight store.
-    pub origin: Option<LoadToken>,
-    /// How long it should take from its acceptance, in milliseconds.
-    pub takes: Millis,
-}
-
-impl InFlight {
-    /// How long a load of a model should take whose time from the store this is, in milliseconds.
-    pub fn load_takes(load_time_s: f64, from_origin: bool) -> Millis {
-        let part = if from_origin { 1.0 } else { DISK_PART };
-        (load_time_s.clamp(0.0, 3_600.0) * 1_000.0 * part) as Millis
-    }
-
-    /// Whether it is a load that is likely done, by the time that it should take.
-    pub fn is_likely_loaded(&self, now: Millis) -> bool {
-        let done = |accepted: Millis| now >= accepted + self.takes + LOADED_MARGIN;
-        self.operation == Operation::Load && self.accepted.is_some_and(done)
-    }
-
-    /// Whether it loads or evicts a model as a whole.
-    pub fn is_model(&self, operation: Operation) -> bool {
-        self.operation == operation && self.item.adapter.is_none()
-    }
-
-    /// Whether it evicts this, or the model that this belongs to.
-    pub fn evicts(&self, item: Item) -> bool {
-        self.operation == Operation::Evict
-            && (self.item == item || self.item == Item { adapter: None, ..item })
-    }
-
-    fn overdue(&self, accepted: Millis, now: Millis) -> bool {
-        let longest = match self.operation {
-            Operation::Load => (self.takes as f64 * SLOWEST_LOAD) as Millis + ORDER_SLACK,
-            Operation::Evict => SLOWEST_EVICTION,
-        };
-        now.saturating_sub(accepted) >= longest
-    }
-}
-
-/// An order may be under way or done that is not known: nothing is ordered until a message tells.
-///
-/// Once heartbeats tell, edges are told by them again what is there. That is a matter of time, and may be wrong; no
-/// order rests on it, as the count of orders is not known again before a report (see [`OrderCount`]).
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Doubt {
-    /// Reports of this time or later tell.
-    pub report_from: Millis,
-    /// Heartbeats of this time or later tell.
-    pub heartbeat_from: Millis,
-    /// Reports with this count of orders, or a higher one, tell at any time.
-    pub count_from: Option<u64>,
-}
-
 /// A place kept for a model that is to be loaded once there is room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reservation {
@@ -236,7 +153,7 @@
             self.count.forget();
         }
         self.end_order_by_contents();
-        if self.doubt.is_some_and(|doubt| now >= doubt.heartbeat_from) {
+        if self.doubt.is_some_and(|doubt| doubt.ends_by_heartbeat(now)) {
             self.doubt = None;
         }
         true
@@ -264,8 +181,7 @@
     pub fn report(&mut self, now: Millis, count: u64, busy: bool, listed: &[Listed]) {
         self.note_disk(listed);
         let unanswered = self.in_flight.as_ref().is_some_and(|order| order.accepted.is_none());
-        let tells =
-            |doubt: Doubt| now >= doubt.report_from || doubt.count_from.is_some_and(|from| count >= from);
+        let tells = |doubt: Doubt| doubt.ends_by_report(now, count);
         if unanswered || busy || self.count.is_beyond(count) || !self.doubt.is_none_or(tells) {
             return;
         }
@@ -325,20 +241,13 @@
         if order.operation == Operation::Load {
             self.holding.add(now, order.item);
         }
-        let settled = order.sent.saturating_add(BEGUN_WITHIN);
         self.count.forget();
-        self.doubt = Some(Doubt {
-            report_from: settled.max(now).saturating_add(REPORT_LAG),
-            heartbeat_from: settled + (order.takes as f64 * SLOWEST_LOAD) as Millis + ORDER_SLACK,
-            count_from: Some(order.named.saturating_add(1)),
-        });
+        self.doubt = Some(Doubt::of_unanswered(now, &order));
     }
 
     fn doubt_now(&mut self, now: Millis, report_after: Millis) {
-        let heartbeat_from = now.saturating_add(SLOWEST_EVICTION);
-        let report_from = now.saturating_add(report_after);
         self.count.forget();
-        self.doubt = Some(Doubt { report_from, heartbeat_from, count_from: None });
+        self.doubt = Some(Doubt::of_unknown_order(now, report_after));
     }
 
     /// Ends what time alone ends.
@@ -356,7 +265,7 @@
                 self.holding.add(now, item);
                 self.in_flight = None;
             }
-        } else if order.overdue(accepted, now) {
+        } else if order.is_overdue(now) {
             self.in_flight = None;
             self.doubt_now(now, 0);
         }
@@ -369,6 +278,14 @@
         }
     }
 
+    /// It does not answer when it is asked for a report: an order that waits for the count goes elsewhere.
+    pub fn unreported(&mut self, now: Millis, pause: Millis) {
+        if self.awaits_count {
+            (self.awaits_count, self.reserved) = (false, None);
+            self.blocked_until = now.saturating_add(pause);
+        }
+    }
+
     /// Whether a report would tell something that is waited for. `wanted` says that the server could be used.
     /// Asking again takes longer each time.
     pub fn wants_report(&mut self, now: Millis, wanted: bool) -> bool {
--- a/placement/tests/room.rs
+++ b/placement/tests/room.rs
@@ -51,3 +51,24 @@
     let orders = story.after(100);
     assert!(!orders.iter().any(|order| order.starts_with("s0 load")), "{orders:?}");
 }
+
+#[test]
+fn given_an_order_that_is_refused_when_heartbeats_come_long_after_then_the_next_one_names_a_reported_count() {
+    // given: the server has taken an order that nobody here knows of
+    let mut story = Story::new(4, &[&["m0"]]);
+    story.ask(&[waiting("m2")]);
+    assert_eq!(story.orders(), ["s0 load m2 at 0"]);
+    story.outcome(0, Outcome::Busy);
+
+    // when
+    for _ in 0..2 {
+        story.now += LONG_AFTER;
+        story.heartbeat(0, &["m0"]);
+    }
+    story.ask(&[waiting("m2")]);
+
+    // then
+    assert_eq!(story.after(100), [""; 0]);
+    story.report(0, 1, false, &["m0", "m1"]);
+    assert_eq!(story.after(100), ["s0 evict m0 at 1"]);
+}
--- a/placement/tests/stories.rs
+++ b/placement/tests/stories.rs
@@ -159,6 +159,17 @@
     assert_eq!(story.planner.wanted()[0].models, ["m1"]);
 }
 
+#[test]
+fn given_a_server_in_doubt_when_another_has_room_then_the_load_goes_there_at_once() {
+    let mut story = Story::new(2, &[&[], &[]]);
+    let order = sequence("m0", 2);
+    story.ask(&[waiting("m0")]);
+    assert_eq!(story.orders(), [format!("{} load m0 at 0", order[0])]);
+    let first = if order[0] == id(0) { 0 } else { 1 };
+    story.outcome(first, Outcome::Busy);
+    assert_eq!(story.after(100), [format!("{} load m0 at 0", order[1])]);
+}
+
 #[test]
 fn given_a_server_that_refuses_the_connection_when_planned_then_another_takes_the_load_at_once() {
     let mut story = Story::new(2, &[&[], &[]]);
