Divide replicas among models by their work where servers have no room for all

Sizes of 65 and 73 GB on servers of 140 GB also counted as one place a server, not almost two, which halved the room for replicas beyond a model's first; and loads under way were bounded at 64, where the store of the large sites serves 187 and 245 at full speed.

Change: targets are divided by the work that each replica has to bear for all to fit; while room is short they fall at once. A model whose replicas bear twice what is at ease may take the place of a rare one that was asked for more than a second ago. Places of a server are counted by filling servers well; loads at once by the mean load time.

--- a/placement/src/catalogue.rs
+++ b/placement/src/catalogue.rs
@@ -32,20 +32,41 @@
     /// Loads that the store likely serves at once at full speed: as many as its rate keeps under way.
     pub fn loads_at_once(&self) -> usize {
         const LEAST: f64 = 2.0;
-        const MOST: f64 = 64.0;
-        let slowest = self.models.iter().map(|model| model.load_time_s).fold(0.0, f64::max);
-        (self.load_per_s * slowest).ceil().clamp(LEAST, MOST) as usize
+        const MOST: f64 = 4_096.0;
+        let sum: f64 = self.models.iter().map(|model| model.load_time_s).sum();
+        let under_way = self.load_per_s * sum / self.models.len().max(1) as f64;
+        under_way.round().max(LEAST).min(MOST) as usize
     }
 
-    /// Models of the usual size that one server holds.
-    pub fn places(&self) -> usize {
-        let total: f64 = self.models.iter().map(|model| model.weights_mb).sum();
-        let mean = total / self.models.len().max(1) as f64;
-        if mean > 0.0 {
-            (self.weights_mb / mean).clamp(0.0, 1024.0) as usize
-        } else {
-            0
+    /// Models that a server holds in the mean where all models are put onto as few servers as possible, the largest
+    /// that fits next.
+    pub fn places_per_server(&self) -> f64 {
+        let mut sizes = self.sizes();
+        let (mut models, mut servers) = (0, 0);
+        loop {
+            let placed = fill_server(self.weights_mb, &mut sizes);
+            if placed == 0 {
+                break;
+            }
+            models += placed;
+            servers += 1;
         }
+        f64::from(models) / f64::from(servers.max(1))
+    }
+
+    /// The models that a server can hold by their sizes, the largest first, with how many there are of each.
+    fn sizes(&self) -> Vec<(f64, u32)> {
+        let fits = |size: &f64| *size > 0.0 && *size <= self.weights_mb;
+        let mut all: Vec<f64> = self.models.iter().map(|model| model.weights_mb).filter(fits).collect();
+        all.sort_by(|one, other| other.total_cmp(one));
+        let mut sizes: Vec<(f64, u32)> = Vec::new();
+        for size in all {
+            match sizes.last_mut().filter(|(last, _)| *last == size) {
+                Some((_, count)) => *count += 1,
+                None => sizes.push((size, 1)),
+            }
+        }
+        sizes
     }
 
     /// The size of the largest model, in MB.
@@ -54,6 +75,17 @@
     }
 }
 
+/// Takes the models that fit onto one server, the largest first; how many.
+fn fill_server(room_mb: f64, sizes: &mut [(f64, u32)]) -> u32 {
+    let (mut room, mut placed) = (room_mb, 0);
+    for (size, count) in sizes.iter_mut().filter(|(_, count)| *count > 0) {
+        let fit = ((room / *size) as u32).min(*count);
+        (room, placed) = (room - f64::from(fit) * *size, placed + fit);
+        *count -= fit;
+    }
+    placed
+}
+
 /// The number in an adapter's name: 3 for `a3`.
 pub fn adapter_number(name: &str) -> Option<u32> {
     let digits = name.strip_prefix('a')?;
--- a/placement/src/choice.rs
+++ b/placement/src/choice.rs
@@ -26,6 +26,8 @@
 const IDLE_STEP: u64 = 4_000;
 /// Work on a server, in replicas at ease, from which it is no good place for an extra replica.
 const FULL: f64 = 1.0;
+/// Work of each replica, in replicas at ease, from which more replicas are worth a rare model's only one.
+const HARD_PRESSED: f64 = 2.0;
 
 /// What it costs to drop a model, the cheapest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -73,6 +75,17 @@
     pub work: BTreeMap<ServerKey, f64>,
 }
 
+/// What a model brings forward for room on a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Claim {
+    /// The model.
+    pub model: ModelId,
+    /// Why it needs a replica.
+    pub urgency: Urgency,
+    /// The work of each of its replicas, in replicas at ease.
+    pub work: f64,
+}
+
 /// The place for a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -88,6 +101,7 @@
     /// The best place for a missing replica, among servers that take an order now. Counts servers looked at.
     pub fn place(&self, need: &Need, tally: &Tally, examined: &mut u64) -> Option<Place> {
         let model = self.models.get(need.model)?;
+        let claim = need.claim();
         let mut best: Option<((bool, Price, usize), ServerKey)> = None;
         for (position, key) in self.ring.sequence(Key::of(&model.spec.name)).enumerate() {
             let Some(server) = self.servers.get(key).filter(|server| self.is_free(*key, server, need.model))
@@ -95,7 +109,7 @@
                 continue;
             };
             *examined += 1;
-            let Some(price) = self.price(*key, server, need, tally) else { continue };
+            let Some(price) = self.price(*key, server, &claim, tally) else { continue };
             let full =
                 need.urgency == Urgency::Overloaded && self.work.get(key).is_some_and(|work| *work >= FULL);
             let rank = (full, price, position);
@@ -109,7 +123,7 @@
         let (_, key) = best?;
         let server = self.servers.get(&key)?;
         let victim = match self.missing_mb(server, need.model) > 0.0 {
-            true => self.victim(key, server, need.urgency, need.model, tally),
+            true => self.victim(key, server, &claim, tally),
             false => None,
         };
         Some(Place { server: key, from_origin: !server.held_before(need.model), victim })
@@ -122,12 +136,12 @@
     }
 
     /// What has to be dropped to make room; `None` if that is not allowed.
-    fn price(&self, key: ServerKey, server: &Server, need: &Need, tally: &Tally) -> Option<Price> {
-        let mut missing = self.missing_mb(server, need.model);
+    fn price(&self, key: ServerKey, server: &Server, claim: &Claim, tally: &Tally) -> Option<Price> {
+        let mut missing = self.missing_mb(server, claim.model);
         if missing <= 0.0 {
             return Some((Loss::Nothing, 0));
         }
-        for (price, model) in self.victims(key, server, need.urgency, tally) {
+        for (price, model) in self.victims(key, server, claim, tally) {
             missing -= server.holding.copy_mb(model, self.models);
             if missing <= 0.0 {
                 return Some(price);
@@ -143,43 +157,48 @@
     }
 
     /// What to drop first on a server for a model; `None` if that would not make room.
-    pub fn victim(
-        &self,
-        key: ServerKey,
-        server: &Server,
-        urgency: Urgency,
-        model: ModelId,
-        tally: &Tally,
-    ) -> Option<ModelId> {
-        let victims = self.victims(key, server, urgency, tally);
+    pub fn victim(&self, key: ServerKey, server: &Server, claim: &Claim, tally: &Tally) -> Option<ModelId> {
+        let victims = self.victims(key, server, claim, tally);
         let room: f64 = victims.iter().map(|(_, victim)| server.holding.copy_mb(*victim, self.models)).sum();
-        let enough = room >= self.missing_mb(server, model);
+        let enough = room >= self.missing_mb(server, claim.model);
         victims.first().filter(|_| enough).map(|(_, victim)| *victim)
     }
 
     /// The model that is missed least on a server, if it may go with no other to take its place.
     pub fn cheapest(&self, key: ServerKey, server: &Server, tally: &Tally) -> Option<(Price, ModelId)> {
-        self.victims(key, server, Urgency::Overloaded, tally).into_iter().next()
+        self.droppable(key, server, Loss::Settled, tally).into_iter().next()
     }
 
-    /// Models that may be dropped on a server, the cheapest first.
+    /// Models that may be dropped on a server for another one, the cheapest first.
     fn victims(
         &self,
         key: ServerKey,
         server: &Server,
-        urgency: Urgency,
+        claim: &Claim,
         tally: &Tally,
     ) -> Vec<(Price, ModelId)> {
-        let dearest = match urgency {
+        let dearest = match claim.urgency {
             Urgency::Waiting => Loss::NeededReplica,
+            Urgency::Overloaded if claim.work >= HARD_PRESSED => Loss::BarelySettled,
             Urgency::Overloaded => Loss::Settled,
             Urgency::Absent => Loss::ExtraReplica,
         };
+        self.droppable(key, server, dearest, tally)
+    }
+
+    /// Models on a server whose loss is none dearer than `dearest`, the cheapest first.
+    fn droppable(
+        &self,
+        key: ServerKey,
+        server: &Server,
+        dearest: Loss,
+        tally: &Tally,
+    ) -> Vec<(Price, ModelId)> {
         let held = server.holding.models();
         let priced = held.filter_map(|id| Some((self.loss(key, id, self.models.get(id)?, tally)?, id)));
-        let mut victims: Vec<_> = priced.filter(|((loss, _), _)| *loss <= dearest).collect();
-        victims.sort();
-        victims
+        let mut droppable: Vec<_> = priced.filter(|((loss, _), _)| *loss <= dearest).collect();
+        droppable.sort();
+        droppable
     }
 
     fn loss(&self, key: ServerKey, id: ModelId, model: &Model, tally: &Tally) -> Option<Price> {
--- a/placement/src/lib.rs
+++ b/placement/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! How it decides, in the order of the modules:
 //! - [`rate`] and `demand` smooth what edges report;
-//! - `target` turns that into a number of replicas for each model;
+//! - `target` turns that into a number of replicas for each model, and `fair_share` divides the room among them where
+//!   there is not enough for all;
 //! - `holding` and `server` keep what a server may hold, counting every order whose effect is not known: `in_flight`
 //!   is an order under way, `doubt` what is not known;
 //! - `order_count` keeps for how many orders of a server that holds: each order names it;
@@ -25,6 +26,7 @@
 mod choice;
 mod demand;
 mod doubt;
+mod fair_share;
 mod holding;
 mod in_flight;
 mod model;
--- a/placement/src/needs.rs
+++ b/placement/src/needs.rs
@@ -5,6 +5,7 @@
 use shaletrail_protocol::outside::Operation;
 use shaletrail_protocol::Millis;
 
+use crate::choice::Claim;
 use crate::model::{Model, ModelId, ModelTable};
 use crate::server::Server;
 
@@ -37,6 +38,17 @@
     pub priority: u8,
 }
 
+impl Need {
+    /// What it brings forward for room.
+    pub fn claim(&self) -> Claim {
+        let work = match self.urgency {
+            Urgency::Overloaded => self.weight as f64 / PERCENT,
+            Urgency::Waiting | Urgency::Absent => 0.0,
+        };
+        Claim { model: self.model, urgency: self.urgency, work }
+    }
+}
+
 /// Where the replicas of a model are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Copies {
--- a/placement/src/planner.rs
+++ b/placement/src/planner.rs
@@ -99,6 +99,8 @@
     pub(crate) service: String,
     pub(crate) options: Options,
     pub(crate) catalogue: Catalogue,
+    /// Models that a server holds in the mean where servers are filled well.
+    pub(crate) places_per_server: f64,
     pub(crate) models: ModelTable,
     pub(crate) sources: Sources,
     pub(crate) servers: BTreeMap<ServerKey, Server>,
@@ -127,6 +129,7 @@
         Planner {
             service,
             options,
+            places_per_server: catalogue.places_per_server(),
             catalogue,
             models,
             sources: Sources::default(),
@@ -163,6 +166,7 @@
     pub fn set_catalogue(&mut self, catalogue: Catalogue) {
         self.models.set_catalogue(&catalogue);
         self.origin.set_rate(catalogue.load_per_s);
+        self.places_per_server = catalogue.places_per_server();
         self.catalogue = catalogue;
         self.changed = true;
     }
--- a/placement/src/rounds.rs
+++ b/placement/src/rounds.rs
@@ -5,7 +5,8 @@
 
 use crate::adapters;
 use crate::catalogue::adapter_name;
-use crate::choice::{surplus, work, Scene, ServerKey};
+use crate::choice::{surplus, work, Claim, Scene, ServerKey};
+use crate::fair_share::work_per_replica;
 use crate::in_flight::{InFlight, OrderNumber};
 use crate::model::{Item, ModelId};
 use crate::needs::{needs, Need, Tally, Urgency};
@@ -139,10 +140,22 @@
     fn update_targets(&mut self, now: Millis) {
         let tally = self.tally();
         let slots = self.servers.values().filter(|server| server.is_ready()).map(|server| server.slots).max();
-        for (id, model) in self.models.iter_mut().filter(|(_, model)| model.current) {
-            let copies = tally.of(id).serving;
-            model.target.update(now, &model.demand, copies, slots.unwrap_or(1), &self.options);
+        let room = self.room_for_extra_replicas();
+        for (_, model) in self.models.configured_mut() {
+            model.target.measure(now, &model.demand, slots.unwrap_or(1), &self.options);
         }
+        let loads: Vec<f64> = self.models.configured_mut().map(|(_, model)| model.target.load).collect();
+        let work = work_per_replica(&loads, room);
+        for (id, model) in self.models.configured_mut() {
+            model.target.update(now, &model.demand, tally.of(id).serving, work);
+        }
+    }
+
+    /// Replicas beyond each model's first that there may be.
+    fn room_for_extra_replicas(&self) -> usize {
+        let ready = self.servers.values().filter(|server| server.is_ready()).count();
+        let places = ready as f64 * self.places_per_server;
+        (places * self.options.extra_share.clamp(0.0, 1.0)) as usize
     }
 
     /// Gives up places for models that by now have enough replicas.
@@ -162,8 +175,8 @@
     fn reserve(&mut self, now: Millis) {
         let mut tally = self.tally();
         let ready = self.servers.values().filter(|server| server.is_ready()).count();
-        let extra = (ready * self.catalogue.places()) as f64 * self.options.extra_share.clamp(0.0, 1.0);
-        let needs = needs(now, &self.models, &tally, ready, extra as usize);
+        let extra = self.room_for_extra_replicas();
+        let needs = needs(now, &self.models, &tally, ready, extra);
         self.short = !needs.is_empty();
         if needs.is_empty() {
             return;
@@ -332,6 +345,13 @@
     }
 }
 
+/// What a model brings forward for a place that is reserved for it.
+fn claim_of(scene: &Scene, place: &Reservation, tally: &Tally) -> Claim {
+    let load = scene.models.get(place.model).map_or(0.0, |model| model.target.load);
+    let others = tally.of(place.model).total().saturating_sub(1).max(1);
+    Claim { model: place.model, urgency: place.urgency, work: load / others as f64 }
+}
+
 fn next_step(scene: &Scene, key: ServerKey, server: &Server, place: &Reservation, tally: &Tally) -> Step {
     let item = Item { model: place.model, adapter: None };
     if server.holding.has(item) {
@@ -340,7 +360,7 @@
     if scene.missing_mb(server, place.model) <= 0.0 {
         return Step::Load { item, from_origin: !server.held_before(place.model) };
     }
-    match scene.victim(key, server, place.urgency, place.model, tally) {
+    match scene.victim(key, server, &claim_of(scene, place, tally), tally) {
         Some(model) => Step::Evict(Item { model, adapter: None }),
         None => Step::GiveUp,
     }
--- a/placement/src/target.rs
+++ b/placement/src/target.rs
@@ -1,6 +1,7 @@
 //! How many replicas of a model there should be.
 //!
-//! Raised at once when demand or crowding says so, lowered one at a time: each replica costs a load.
+//! Raised at once when demand or crowding says so, lowered one at a time: each replica costs a load. Where there is no
+//! room for all models' replicas, those that one has too many are lowered at once, as others want the room.
 
 use shaletrail_protocol::Millis;
 
@@ -27,33 +28,45 @@
     pub replicas: usize,
     /// The work that is asked for, in replicas at ease.
     pub load: f64,
+    /// Whether it was asked for lately.
+    is_asked: bool,
     raised: usize,
     raised_at: Millis,
     lowered_at: Millis,
 }
 
 impl Target {
-    /// Brings the target up to date. `slots` is that of one server, `copies` how many replicas are ready.
-    pub fn update(
-        &mut self,
-        now: Millis,
-        demand: &ModelDemand,
-        copies: usize,
-        slots: u32,
-        options: &Options,
-    ) {
-        if !demand.within(now, options.recent) && demand.waiting == 0 && demand.open == 0 {
+    /// Takes over what is asked for. `slots` is that of one server.
+    pub fn measure(&mut self, now: Millis, demand: &ModelDemand, slots: u32, options: &Options) {
+        let is_asked = demand.within(now, options.recent) || demand.waiting > 0 || demand.open > 0;
+        if is_asked {
+            self.load = load(now, demand, slots, options);
+        } else {
             *self = Target { lowered_at: now, ..Target::default() };
+        }
+        self.is_asked = is_asked;
+    }
+
+    /// Brings the number of replicas up to date. `copies` is how many are ready; each may bear `work_per_replica`,
+    /// which is more than 1 where there is no room for all models' replicas.
+    pub fn update(&mut self, now: Millis, demand: &ModelDemand, copies: usize, work_per_replica: f64) {
+        if !self.is_asked {
             return;
         }
-        self.load = load(now, demand, slots, options);
-        self.raise_for_crowding(now, demand, copies);
-        let base = replicas(self.load - RISE_MARGIN) + self.raised;
-        if base >= self.replicas {
-            (self.replicas, self.lowered_at) = (base, now);
-        } else if replicas(self.load + FALL_MARGIN) + self.raised < self.replicas
-            && now.saturating_sub(self.lowered_at) >= STEP_DOWN
-        {
+        let is_short_of_room = work_per_replica > 1.0;
+        if is_short_of_room {
+            self.raised = 0;
+        } else {
+            self.raise_for_crowding(now, demand, copies);
+        }
+        let load = self.load / work_per_replica;
+        let least = replicas(load - RISE_MARGIN) + self.raised;
+        let most = replicas(load + FALL_MARGIN) + self.raised;
+        if least >= self.replicas {
+            (self.replicas, self.lowered_at) = (least, now);
+        } else if most < self.replicas && is_short_of_room {
+            (self.replicas, self.lowered_at) = (most, now);
+        } else if most < self.replicas && now.saturating_sub(self.lowered_at) >= STEP_DOWN {
             (self.replicas, self.lowered_at) = (self.replicas - 1, now);
         }
     }
