Tell loads through relays where there are more than 128 edges

Change: more than 128 edges form about √n groups of √n by the list that polls bring. Each tells its group's relay, relays tell each other sums, and their groups the sum of all. The list of edges is bounded by 2,048. Up to 128 edges nothing changes.

--- a/coordinator/src/core/demand/edges.rs
+++ b/coordinator/src/core/demand/edges.rs
@@ -6,8 +6,6 @@
 
 /// How long after its last poll an edge counts as at work.
 const EDGE_STAYS: Millis = 4_000;
-/// Edges that are told of each other by name, at most: each tells all others what it has under way.
-const MOST_TOLD: usize = 128;
 /// Edges kept.
 pub(super) const MOST_EDGES: usize = 2_048;
 
@@ -74,13 +72,10 @@
         self.own.keys().copied().collect()
     }
 
-    /// The edges at work in the whole system, in order; none where they are too many to be told.
+    /// The edges at work in the whole system, in order.
     pub fn list(&self) -> Vec<NodeId> {
         let all: BTreeSet<NodeId> = self.own.keys().chain(self.others.keys()).copied().collect();
-        if all.len() > MOST_TOLD {
-            return Vec::new();
-        }
-        all.into_iter().collect()
+        all.into_iter().take(MOST_EDGES).collect()
     }
 
     /// Edges among which the budget of repeats is divided: those that were at work within its window, as they may
--- a/coordinator/tests/edges.rs
+++ b/coordinator/tests/edges.rs
@@ -34,3 +34,12 @@
     edges.tick(now + WINDOW + 1);
     assert_eq!((edges.list(), edges.sharing(now + WINDOW + 1)), (vec![NodeId(1)], 1));
 }
+
+#[test]
+fn given_hundreds_of_edges_when_they_are_listed_then_all_of_them_are() {
+    let mut edges = Edges::new(WINDOW, START);
+    (0..300).for_each(|node| edges.polled(NodeId(node), START));
+    edges.told((300..880).map(NodeId).collect(), START);
+
+    assert_eq!(edges.list(), (0..880).map(NodeId).collect::<Vec<_>>());
+}
--- a/dataplane/src/peers.rs
+++ b/dataplane/src/peers.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use ahash::AHashMap;
-use shaletrail_protocol::inside::{EdgeLoads, LoadShare};
+use shaletrail_protocol::inside::{EdgeLoads, LoadScope, LoadShare};
 use shaletrail_protocol::{Incarnation, NodeId};
-use shaletrail_routing::interface::Event;
+use shaletrail_routing::interface::{Event, LoadNews};
 use tokio::net::UdpSocket;
 
 use crate::state::State;
@@ -64,25 +64,35 @@
     async fn tell(&self) {
         loop {
             let _ = tokio::time::timeout(INTERVAL, self.state.shares_changed.notified()).await;
-            let shares = self.state.with_router(|router| router.take_shares(self.state.clock.now()));
-            for part in shares.chunks(MOST_SHARES) {
-                self.send(part).await;
+            let now = self.state.clock.now();
+            for news in self.state.with_router(|router| router.take_load_news(now)) {
+                self.send(&news).await;
             }
         }
     }
 
-    async fn send(&self, shares: &[LoadShare]) {
-        let number = self.sent.replace_with(|sent| *sent + 1) + 1;
-        let loads =
-            EdgeLoads { edge: self.node, incarnation: self.incarnation, number, shares: shares.to_vec() };
-        let datagram = bitcode::encode(&loads);
-        let edges = self.state.edges.borrow().clone();
-        for edge in edges.iter().filter(|edge| **edge != self.node) {
-            // A datagram that is lost is made good by the next.
-            let _ = self.socket.send_to(&datagram, SocketAddrV4::new(edge.address(), self.port)).await;
+    async fn send(&self, news: &LoadNews) {
+        for shares in news.shares.chunks(MOST_SHARES) {
+            let datagram = self.datagram(news.scope, shares);
+            for edge in &news.to {
+                // A datagram that is lost is made good by the next.
+                let _ = self.socket.send_to(&datagram, SocketAddrV4::new(edge.address(), self.port)).await;
+            }
         }
     }
 
+    fn datagram(&self, scope: LoadScope, shares: &[LoadShare]) -> Vec<u8> {
+        let number = self.sent.replace_with(|sent| *sent + 1) + 1;
+        let loads = EdgeLoads {
+            edge: self.node,
+            incarnation: self.incarnation,
+            number,
+            scope,
+            shares: shares.to_vec(),
+        };
+        bitcode::encode(&loads)
+    }
+
     async fn hear(&self) {
         let mut buffer = [0; LONGEST];
         loop {
@@ -92,7 +102,7 @@
             };
             let Some(Ok(loads)) = buffer.get(..length).map(bitcode::decode::<EdgeLoads>) else { continue };
             if self.is_new(&loads) {
-                self.state.handle(Event::Peer { edge: loads.edge, shares: loads.shares });
+                self.state.handle(Event::Peer { edge: loads.edge, scope: loads.scope, shares: loads.shares });
             }
         }
     }
--- a/dataplane/src/poller.rs
+++ b/dataplane/src/poller.rs
@@ -248,7 +248,7 @@
     /// Takes over which edges there are, for the datagrams among them.
     fn take_edges(&mut self, nodes: Option<Vec<NodeId>>, list: u64) {
         if let Some(nodes) = nodes {
-            self.state.edges.replace(nodes.into());
+            self.state.handle(Event::EdgeList { own: self.identity.node, edges: nodes });
             self.edge_list = list;
         }
     }
--- a/dataplane/src/state.rs
+++ b/dataplane/src/state.rs
@@ -12,7 +12,7 @@
 use ahash::AHashMap;
 use shaletrail_configuration::View;
 use shaletrail_protocol::settings::Settings;
-use shaletrail_protocol::{Millis, NodeId, ServerId};
+use shaletrail_protocol::{Millis, ServerId};
 use shaletrail_routing::interface::{Action, Attempt, Event, NewRequest, Refusal, RequestId};
 use shaletrail_routing::Router;
 use tokio::sync::Notify;
@@ -108,8 +108,6 @@
     pub urgent: Notify,
     /// Notified when the other edges should hear at once what is under way here.
     pub shares_changed: Notify,
-    /// The edges at work, as far as the coordinators have told.
-    pub edges: RefCell<Rc<[NodeId]>>,
 }
 
 impl State {
@@ -131,7 +129,6 @@
             timer_changed: Notify::new(),
             urgent: Notify::new(),
             shares_changed: Notify::new(),
-            edges: RefCell::new(Rc::from([])),
         })
     }
 
--- a/hollow/src/edge_node.rs
+++ b/hollow/src/edge_node.rs
@@ -10,7 +10,8 @@
 use shaletrail_dataplane::poller::Pace;
 use shaletrail_protocol::frame;
 use shaletrail_protocol::inside::{
-    ConfigNews, Demand, DirectoryCursor, EdgeLoads, EdgeRequest, Observation, PollReply, PollRequest,
+    ConfigNews, Demand, DirectoryCursor, EdgeLoads, EdgeRequest, LoadScope, LoadShare, Observation,
+    PollReply, PollRequest,
 };
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
 use shaletrail_routing::interface::{Action, Event};
@@ -71,7 +72,6 @@
     cursor: DirectoryCursor,
     edges: u32,
     edge_list: u64,
-    edge_nodes: Vec<NodeId>,
     datagrams: u64,
     demand: Vec<Demand>,
     observed: Vec<Observation>,
@@ -100,7 +100,6 @@
             cursor: DirectoryCursor::default(),
             edges: 0,
             edge_list: 0,
-            edge_nodes: Vec::new(),
             datagrams: 0,
             demand: Vec::new(),
             observed: Vec::new(),
@@ -235,31 +234,35 @@
     fn tell_loads(&mut self, world: &mut World) {
         let Some(decisions) = &mut self.decisions else { return };
         let begun = Stopwatch::start();
-        let shares = decisions.router.take_shares(world.schedule.now);
-        let mut datagrams = Vec::new();
-        for part in shares.chunks(MOST_SHARES) {
-            self.datagrams += 1;
-            let loads = EdgeLoads {
-                edge: site::edge_node(self.place),
-                incarnation: Incarnation(self.start),
-                number: self.datagrams,
-                shares: part.to_vec(),
-            };
-            datagrams.push(Rc::<[u8]>::from(bitcode::encode(&loads)));
-        }
+        let news = decisions.router.take_load_news(world.schedule.now);
         self.ledger.worked(Kind::Loads, begun.elapsed());
-        let here = zone_of(self.place);
-        for datagram in datagrams {
-            for node in self.edge_nodes.iter().filter(|node| **node != site::edge_node(self.place)) {
-                let to = site::place(*node);
-                let there = zone_of(to);
-                self.ledger.sent(Kind::Loads, datagram.len(), here != there);
-                let what = AtEdge::Loads(Rc::clone(&datagram));
-                world.schedule.after(latency(here, there), Happening::Edge(to, world.edge_starts[to], what));
+        for news in &news {
+            for shares in news.shares.chunks(MOST_SHARES) {
+                self.send_loads(world, &news.to, news.scope, shares);
             }
         }
     }
 
+    fn send_loads(&mut self, world: &mut World, to: &[NodeId], scope: LoadScope, shares: &[LoadShare]) {
+        self.datagrams += 1;
+        let loads = EdgeLoads {
+            edge: site::edge_node(self.place),
+            incarnation: Incarnation(self.start),
+            number: self.datagrams,
+            scope,
+            shares: shares.to_vec(),
+        };
+        let datagram = Rc::<[u8]>::from(bitcode::encode(&loads));
+        let here = zone_of(self.place);
+        for node in to {
+            let to = site::place(*node);
+            let there = zone_of(to);
+            self.ledger.sent(Kind::Loads, datagram.len(), here != there);
+            let what = AtEdge::Loads(Rc::clone(&datagram));
+            world.schedule.after(latency(here, there), Happening::Edge(to, world.edge_starts[to], what));
+        }
+    }
+
     fn take_loads(&mut self, world: &mut World, datagram: &[u8]) {
         let begun = Stopwatch::start();
         let loads = bitcode::decode::<EdgeLoads>(datagram);
@@ -267,7 +270,11 @@
         let Ok(loads) = loads else { return };
         let crosses = zone_of(site::place(loads.edge)) != zone_of(self.place);
         self.ledger.received(Kind::Loads, datagram.len(), crosses);
-        self.tell(world, Kind::Loads, Event::Peer { edge: loads.edge, shares: loads.shares });
+        self.tell(
+            world,
+            Kind::Loads,
+            Event::Peer { edge: loads.edge, scope: loads.scope, shares: loads.shares },
+        );
     }
 
     // ---- Polls -----------------------------------------------------------------------------------------
@@ -393,8 +400,9 @@
             self.tell(world, kind, Event::Servers { records: reply.servers, whole: reply.whole });
         }
         if let Some(nodes) = reply.edge_nodes {
-            self.edge_nodes = nodes;
             self.edge_list = reply.edge_list;
+            let own = site::edge_node(self.place);
+            self.tell(world, kind, Event::EdgeList { own, edges: nodes });
         }
         if reply.edges > 0 && reply.edges != self.edges {
             self.edges = reply.edges;
--- a/placement/src/catalogue.rs
+++ b/placement/src/catalogue.rs
@@ -34,8 +34,12 @@
         const LEAST: f64 = 2.0;
         const MOST: f64 = 4_096.0;
         let sum: f64 = self.models.iter().map(|model| model.load_time_s).sum();
-        let under_way = self.load_per_s * sum / self.models.len().max(1) as f64;
-        under_way.round().max(LEAST).min(MOST) as usize
+        let under_way = (self.load_per_s * sum / self.models.len().max(1) as f64).round();
+        if under_way.is_finite() {
+            under_way.clamp(LEAST, MOST) as usize
+        } else {
+            LEAST as usize
+        }
     }
 
     /// Models that a server holds in the mean where all models are put onto as few servers as possible, the largest
--- a/protocol/src/inside.rs
+++ b/protocol/src/inside.rs
@@ -109,7 +109,19 @@
     pub silent: bool,
 }
 
-/// A datagram from one edge to the others: shares that have changed, or that are told anew.
+/// Whose requests the shares of a datagram count.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub enum LoadScope {
+    /// The sender's own.
+    #[default]
+    Own,
+    /// Those of all edges of the sender's group, told among the groups' relays.
+    Group,
+    /// Those of all edges, told by a relay to its group.
+    Fleet,
+}
+
+/// A datagram from one edge to others: shares that have changed, or that are told anew.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct EdgeLoads {
     /// The sender.
@@ -118,7 +130,9 @@
     pub incarnation: Incarnation,
     /// Rises with each datagram of one incarnation.
     pub number: u64,
-    /// Its shares, each replacing what it told of that server before.
+    /// Whose requests the shares count.
+    pub scope: LoadScope,
+    /// Its shares, each replacing what it told of that server before in that scope.
     pub shares: Vec<LoadShare>,
 }
 
--- a/routing/src/choice.rs
+++ b/routing/src/choice.rs
@@ -10,7 +10,7 @@
 
 use crate::fleet::Fleet;
 use crate::interface::NewRequest;
-use crate::peers::PeerLoads;
+use crate::peers::Peers;
 use crate::report::Wanted;
 use crate::servers::{Room, Server, ServerHandle, Servers, Standing};
 use crate::Options;
@@ -84,7 +84,7 @@
 pub(crate) fn choose(
     fleet: &Fleet,
     servers: &Servers,
-    peers: &PeerLoads,
+    peers: &Peers,
     ask: &Ask<'_>,
     now: Millis,
     options: &Options,
@@ -96,7 +96,7 @@
 struct Choice<'a> {
     fleet: &'a Fleet,
     servers: &'a Servers,
-    peers: &'a PeerLoads,
+    peers: &'a Peers,
     ask: &'a Ask<'a>,
     now: Millis,
     /// How long what an answer told of a server's load counts, in milliseconds.
@@ -219,7 +219,7 @@
 
     /// How much speaks against sending a request there now: silence, prompts that wait to be read, open requests.
     fn strain(&self, server: &Server) -> (bool, u64, u32) {
-        let elsewhere = self.peers.at(server.share.key);
+        let elsewhere = self.peers.at(server.share.told());
         let silent = elsewhere.silent > 0 || server.is_silent(self.now, self.options);
         (silent, server.share.prefill + elsewhere.prefill, server.open + elsewhere.open)
     }
--- a/routing/src/interface.rs
+++ b/routing/src/interface.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use shaletrail_configuration::{Route, View};
-use shaletrail_protocol::inside::{LoadShare, ServerRecord};
+use shaletrail_protocol::inside::{LoadScope, LoadShare, ServerRecord};
 use shaletrail_protocol::{Millis, NodeId, ServerId};
 
 /// Names a request at this edge; given by the driver, never used twice.
@@ -28,10 +28,19 @@
     },
     /// Edges at work in the whole system, this one included; shares budgets and limits.
     Edges(u32),
-    /// Another edge has told what it has under way at servers.
+    /// The edges at work, by name.
+    EdgeList {
+        /// This edge.
+        own: NodeId,
+        /// All edges, this one included.
+        edges: Vec<NodeId>,
+    },
+    /// Another edge has told what is under way at servers.
     Peer {
         /// The edge.
         edge: NodeId,
+        /// Whose requests it counted.
+        scope: LoadScope,
         /// What it told.
         shares: Vec<LoadShare>,
     },
@@ -227,5 +236,16 @@
     Overloaded,
 }
 
+/// What other edges are to be told of requests under way at servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadNews {
+    /// Whom to tell.
+    pub to: Vec<NodeId>,
+    /// Whose requests are counted.
+    pub scope: LoadScope,
+    /// What to tell.
+    pub shares: Vec<LoadShare>,
+}
+
 /// When the router next wants `Event::Tick`, and what it reports; see `Router`.
 pub type NextWake = Option<Millis>;
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -9,7 +9,7 @@
 //! | `attempts` | attempts under way: evidence, silence, end |
 //! | `endings` | the table of requests and their final actions |
 //! | `requests` | a request and its phases |
-//! | `peers`, `share` | what the edges have under way at servers, told among them |
+//! | `peers`, `share`, `load_table`, `topology`, `announced` | what the edges have under way at servers, told among them |
 //! | `choice` | the server of a request: RJ-CH sequence, cap, known load |
 //! | `servers` | what is known of each server |
 //! | `fleet` | the servers of one service |
@@ -21,6 +21,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod announced;
 mod attempts;
 mod budget;
 mod choice;
@@ -30,6 +31,7 @@
 mod health;
 mod holding;
 pub mod interface;
+mod load_table;
 mod options;
 mod peers;
 mod placing;
@@ -38,6 +40,7 @@
 mod router;
 mod servers;
 mod share;
+mod topology;
 mod window;
 
 pub use counters::Counters;
--- a/routing/src/peers.rs
+++ b/routing/src/peers.rs
@@ -1,105 +1,124 @@
 //! What the edges have under way at servers, told among them.
 //!
 //! A server says how many requests it has only in its answers, and never how much of prompts it still has to read.
-//! Each edge therefore tells the others what it has sent and not seen answered. What is told is a state, not a change:
-//! a datagram that is lost is made good by the next, and what an edge told is forgotten when it falls silent.
+//! Each edge therefore tells others what it has sent and not seen answered: all of them, or, where they are many, the
+//! relay of its group ([`Topology`]).
 
-use std::collections::HashMap;
-
-use shaletrail_protocol::inside::LoadShare;
+use shaletrail_protocol::inside::{LoadScope, LoadShare};
 use shaletrail_protocol::{Millis, NodeId};
 
-/// What was told counts for so long, in milliseconds.
-const COUNTS_FOR: Millis = 1_500;
-/// Shares that are not nothing are told anew after so long, in milliseconds.
-pub(crate) const TELL_AGAIN: Millis = 500;
-/// Edges kept.
-const MOST_EDGES: usize = 256;
-/// Servers kept of one edge.
-const MOST_SERVERS: usize = 8_192;
-
-/// What the other edges have under way at one server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Elsewhere {
-    /// Requests that are open there.
-    pub open: u32,
-    /// Prompt tokens of those whose answer has not begun.
-    pub prefill: u64,
-    /// Edges to which the server has been silent for long.
-    pub silent: u32,
-}
+use crate::announced::Announced;
+use crate::interface::LoadNews;
+use crate::load_table::{Elsewhere, LoadTable};
+use crate::topology::Topology;
 
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    share: LoadShare,
-    until: Millis,
-}
+/// Between two sums that a relay tells the other relays, in milliseconds.
+const GROUP_INTERVAL: Millis = 100;
+/// Between two sums that a relay tells its group, in milliseconds.
+const FLEET_INTERVAL: Millis = 200;
 
-/// What all other edges have told.
+/// What the other edges have under way, and what a relay tells on.
 #[derive(Debug, Default)]
-pub(crate) struct PeerLoads {
-    edges: HashMap<NodeId, HashMap<u64, Told>>,
-    sums: HashMap<u64, Elsewhere>,
-    next_expiry: Millis,
+pub(crate) struct Peers {
+    own: NodeId,
+    topology: Topology,
+    /// What edges told of their own requests. At a relay, those of this edge are among them.
+    single: LoadTable,
+    /// Sums that relays told.
+    summed: LoadTable,
+    group: Announced,
+    fleet: Announced,
+    group_at: Millis,
+    fleet_at: Millis,
 }
 
-impl PeerLoads {
-    /// Takes what an edge tells.
-    pub fn tell(&mut self, now: Millis, edge: NodeId, shares: Vec<LoadShare>) {
-        self.expire(now);
-        if self.edges.len() >= MOST_EDGES && !self.edges.contains_key(&edge) {
-            return;
+impl Peers {
+    /// Takes over which edges are at work.
+    pub fn set_edges(&mut self, own: NodeId, edges: &[NodeId]) {
+        let topology = Topology::of(own, edges);
+        let hears_from = |topology: &Topology| match topology {
+            Topology::Mesh { .. } => (0, None),
+            Topology::Member { relay } => (1, Some(*relay)),
+            Topology::Relay { .. } => (2, None),
+        };
+        if hears_from(&topology) != hears_from(&self.topology) {
+            *self = Peers::default();
         }
-        let servers = self.edges.entry(edge).or_default();
-        for share in shares {
-            if servers.len() >= MOST_SERVERS && !servers.contains_key(&share.server) {
-                continue;
+        (self.own, self.topology) = (own, topology);
+    }
+
+    /// Takes what an edge tells, if it is for this one.
+    pub fn tell(&mut self, now: Millis, edge: NodeId, scope: LoadScope, shares: Vec<LoadShare>) {
+        match (&self.topology, scope) {
+            (Topology::Mesh { .. } | Topology::Relay { .. }, LoadScope::Own)
+            | (Topology::Relay { .. }, LoadScope::Group)
+                if edge == self.own => {}
+            (Topology::Mesh { .. } | Topology::Relay { .. }, LoadScope::Own) => {
+                self.single.tell(now, edge, shares);
+            }
+            (Topology::Relay { .. }, LoadScope::Group) => self.summed.tell(now, edge, shares),
+            (Topology::Member { relay }, LoadScope::Fleet) if *relay == edge => {
+                self.summed.tell(now, edge, shares);
             }
-            let told = Told { share, until: now + COUNTS_FOR };
-            let former = servers.insert(share.server, told).map(|told| told.share).unwrap_or_default();
-            let sum = self.sums.entry(share.server).or_default();
-            subtract(sum, &former);
-            add(sum, &share);
+            _ => {}
         }
-        self.next_expiry = self.next_expiry.min(now + COUNTS_FOR);
     }
 
-    /// What the other edges have at a server.
-    pub fn at(&self, server: u64) -> Elsewhere {
-        self.sums.get(&server).copied().unwrap_or_default()
+    /// What the other edges have at a server. `told` is what this edge has told of it.
+    pub fn at(&self, told: &LoadShare) -> Elsewhere {
+        let all = self.all_at(told.server);
+        match self.topology {
+            Topology::Mesh { .. } => all,
+            Topology::Member { .. } | Topology::Relay { .. } => all.without(told),
+        }
     }
 
     /// Forgets what was told long ago.
     pub fn expire(&mut self, now: Millis) {
-        if now < self.next_expiry {
-            return;
+        self.single.expire(now);
+        self.summed.expire(now);
+    }
+
+    /// What is to be told now, where this edge has `own_news` of its own.
+    pub fn take_news(&mut self, now: Millis, own_news: Vec<LoadShare>) -> Vec<LoadNews> {
+        match &self.topology {
+            Topology::Mesh { others } => {
+                vec![LoadNews { to: others.clone(), scope: LoadScope::Own, shares: own_news }]
+            }
+            Topology::Member { relay } => {
+                vec![LoadNews { to: vec![*relay], scope: LoadScope::Own, shares: own_news }]
+            }
+            Topology::Relay { members, relays } => {
+                let (members, relays) = (members.clone(), relays.clone());
+                self.single.tell(now, self.own, own_news);
+                let group = LoadNews { to: relays, scope: LoadScope::Group, shares: self.group_news(now) };
+                let fleet = LoadNews { to: members, scope: LoadScope::Fleet, shares: self.fleet_news(now) };
+                vec![group, fleet]
+            }
         }
-        let sums = &mut self.sums;
-        for servers in self.edges.values_mut() {
-            servers.retain(|server, told| {
-                let counts = told.until > now;
-                if !counts {
-                    if let Some(sum) = sums.get_mut(server) {
-                        subtract(sum, &told.share);
-                    }
-                }
-                counts
-            });
+    }
+
+    fn group_news(&mut self, now: Millis) -> Vec<LoadShare> {
+        if now < self.group_at + GROUP_INTERVAL {
+            return Vec::new();
         }
-        self.edges.retain(|_, servers| !servers.is_empty());
-        self.sums.retain(|_, sum| *sum != Elsewhere::default());
-        self.next_expiry = now + COUNTS_FOR / 2;
+        self.group_at = now;
+        self.expire(now);
+        let single = &self.single;
+        self.group.take_news(now, single.servers(), |server| single.at(server))
     }
-}
 
-fn add(sum: &mut Elsewhere, share: &LoadShare) {
-    sum.open += u32::from(share.open);
-    sum.prefill += u64::from(share.prefill);
-    sum.silent += u32::from(share.silent);
-}
+    fn fleet_news(&mut self, now: Millis) -> Vec<LoadShare> {
+        if now < self.fleet_at + FLEET_INTERVAL {
+            return Vec::new();
+        }
+        self.fleet_at = now;
+        let (single, summed) = (&self.single, &self.summed);
+        let servers = single.servers().chain(summed.servers());
+        self.fleet.take_news(now, servers, |server| single.at(server).plus(summed.at(server)))
+    }
 
-fn subtract(sum: &mut Elsewhere, share: &LoadShare) {
-    sum.open = sum.open.saturating_sub(u32::from(share.open));
-    sum.prefill = sum.prefill.saturating_sub(u64::from(share.prefill));
-    sum.silent = sum.silent.saturating_sub(u32::from(share.silent));
+    fn all_at(&self, server: u64) -> Elsewhere {
+        self.single.at(server).plus(self.summed.at(server))
+    }
 }
--- a/routing/src/router.rs
+++ b/routing/src/router.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use shaletrail_configuration::{Route, View};
-use shaletrail_protocol::inside::{Demand, LoadShare, Observation, ServerRecord};
+use shaletrail_protocol::inside::{Demand, Observation, ServerRecord};
 use shaletrail_protocol::Millis;
 
 use crate::choice::request_key;
@@ -14,10 +14,10 @@
 use crate::fleet::{Fleet, Rearranged};
 use crate::holding::Holding;
 use crate::interface::{
-    Action, Attempt, Ending, Event, NewRequest, NextWake, Outcome, RefusalReason, RequestId, ServerLoad,
-    Verdict,
+    Action, Attempt, Ending, Event, LoadNews, NewRequest, NextWake, Outcome, RefusalReason, RequestId,
+    ServerLoad, Verdict,
 };
-use crate::peers::PeerLoads;
+use crate::peers::Peers;
 use crate::report::{count_arrival, take_observations, DemandTable, Wanted};
 use crate::requests::{Out, Phase, Request};
 use crate::servers::{Merge, ServerHandle, Servers, Standing};
@@ -40,7 +40,7 @@
     /// A request has begun to wait for a model since the last report.
     pub(crate) urgent: bool,
     /// What the other edges have under way.
-    pub(crate) peers: PeerLoads,
+    pub(crate) peers: Peers,
     /// The other edges should hear at once what this one has under way.
     pub(crate) shares_changed: bool,
 }
@@ -62,7 +62,7 @@
             demand: DemandTable::default(),
             counters: Counters::default(),
             urgent: false,
-            peers: PeerLoads::default(),
+            peers: Peers::default(),
             shares_changed: false,
         }
     }
@@ -73,7 +73,8 @@
             Event::View(view) => self.on_view(now, view, actions),
             Event::Servers { records, whole } => self.on_servers(now, records, whole, actions),
             Event::Edges(edges) => self.edges = edges,
-            Event::Peer { edge, shares } => self.peers.tell(now, edge, shares),
+            Event::EdgeList { own, edges } => self.peers.set_edges(own, &edges),
+            Event::Peer { edge, scope, shares } => self.peers.tell(now, edge, scope, shares),
             Event::Request(request) => self.on_request(now, request, actions),
             Event::Written(..) => {}
             Event::Head(id, attempt, load) => self.on_head(now, id, attempt, load),
@@ -99,15 +100,18 @@
         (self.demand.take(), take_observations(&mut self.servers))
     }
 
-    /// What the other edges should hear of what this one has under way at servers.
-    pub fn take_shares(&mut self, now: Millis) -> Vec<LoadShare> {
+    /// What other edges should hear of requests under way at servers.
+    pub fn take_load_news(&mut self, now: Millis) -> Vec<LoadNews> {
         self.shares_changed = false;
         let options = &self.options;
-        let told = self.servers.iter_mut().filter_map(|server| {
+        let own = self.servers.iter_mut().filter_map(|server| {
             let silent = server.is_silent(now, options);
             server.share.take_news(now, server.open, silent)
         });
-        told.collect()
+        let own = own.collect();
+        let mut news = self.peers.take_news(now, own);
+        news.retain(|news| !news.to.is_empty() && !news.shares.is_empty());
+        news
     }
 
     /// Whether the other edges should hear at once.
--- a/routing/src/share.rs
+++ b/routing/src/share.rs
@@ -4,7 +4,7 @@
 use shaletrail_protocol::Millis;
 use shaletrail_ring::hash_of_name;
 
-use crate::peers::TELL_AGAIN;
+use crate::load_table::TELL_AGAIN;
 
 /// Prompt tokens from which a change is told at once.
 const LARGE: u64 = 1_000;
@@ -13,7 +13,7 @@
 #[derive(Debug)]
 pub(crate) struct OwnShare {
     /// Names the server among edges.
-    pub key: u64,
+    key: u64,
     /// Prompt tokens of requests whose answer has not begun.
     pub prefill: u64,
     /// When each request was sent whose answer has not begun.
@@ -46,6 +46,11 @@
         u64::from(prefill) >= LARGE
     }
 
+    /// What the other edges were told last.
+    pub fn told(&self) -> &LoadShare {
+        &self.told
+    }
+
     /// Whether a request has been waiting for `patience` milliseconds with no sign of life of the server since.
     pub fn is_silent(&self, now: Millis, heard_at: Millis, patience: Millis) -> bool {
         self.unanswered.iter().any(|sent| sent + patience <= now && heard_at <= *sent)
--- /dev/null
+++ b/routing/src/topology.rs
@@ -0,0 +1,75 @@
+//! Which edges tell each other of their loads.
+//!
+//! Up to [`MESH_EDGES`] edges each tell all others. Beyond that the work would grow with the square of their number, so
+//! edges form about √n groups of √n: each tells the relay of its group, relays tell each other the sums of their
+//! groups, and each tells its group the sum of all. Groups are runs of the edges in the order of their addresses, which
+//! keeps edges of one zone together where zones are address ranges. All nodes compute the same groups from one list;
+//! while lists differ, some loads are missing or counted twice for as long as what was told counts.
+
+use shaletrail_protocol::NodeId;
+use shaletrail_ring::mix;
+
+/// Edges that tell each other directly, at most.
+const MESH_EDGES: usize = 128;
+
+/// Whom this edge tells and hears.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Topology {
+    /// Each edge tells all others.
+    Mesh {
+        /// The other edges.
+        others: Vec<NodeId>,
+    },
+    /// This edge tells its relay, and hears the sum of all from it.
+    Member {
+        /// The relay of its group.
+        relay: NodeId,
+    },
+    /// This edge is the relay of its group.
+    Relay {
+        /// The other edges of its group.
+        members: Vec<NodeId>,
+        /// The other groups' relays.
+        relays: Vec<NodeId>,
+    },
+}
+
+impl Default for Topology {
+    fn default() -> Self {
+        Topology::Mesh { others: Vec::new() }
+    }
+}
+
+impl Topology {
+    /// The place of `own` among the edges at work.
+    pub fn of(own: NodeId, edges: &[NodeId]) -> Topology {
+        let mut edges = edges.to_vec();
+        edges.sort_unstable();
+        edges.dedup();
+        if edges.len() <= MESH_EDGES {
+            edges.retain(|edge| *edge != own);
+            return Topology::Mesh { others: edges };
+        }
+        let group_size = edges.len().isqrt();
+        let groups: Vec<&[NodeId]> = edges.chunks(group_size).collect();
+        let position = edges.partition_point(|edge| *edge < own).min(edges.len() - 1);
+        let own_group = position / group_size;
+        let relays: Vec<NodeId> = groups.iter().map(|group| relay_of(group, own)).collect();
+        match relays.get(own_group) {
+            Some(relay) if *relay != own => Topology::Member { relay: *relay },
+            _ => Topology::Relay {
+                members: without(groups.get(own_group).copied().unwrap_or_default(), own),
+                relays: without(&relays, own),
+            },
+        }
+    }
+}
+
+/// The relay of a group: the edge with the greatest hash, so that it stays the same while others come and go.
+fn relay_of(group: &[NodeId], fallback: NodeId) -> NodeId {
+    group.iter().copied().max_by_key(|edge| mix(u64::from(edge.0))).unwrap_or(fallback)
+}
+
+fn without(edges: &[NodeId], own: NodeId) -> Vec<NodeId> {
+    edges.iter().copied().filter(|edge| *edge != own).collect()
+}
--- a/simulation/src/edge.rs
+++ b/simulation/src/edge.rs
@@ -60,7 +60,6 @@
     wants_whole: bool,
     edges: u32,
     edge_list: u64,
-    edge_nodes: Vec<NodeId>,
     datagrams: u64,
     demand: Vec<Demand>,
     observed: Vec<Observation>,
@@ -91,7 +90,6 @@
             wants_whole: false,
             edges: 0,
             edge_list: 0,
-            edge_nodes: Vec::new(),
             datagrams: 0,
             demand: Vec::new(),
             observed: Vec::new(),
@@ -158,7 +156,7 @@
             }
             Message::Loads(datagram) => {
                 let loads: EdgeLoads = bitcode::decode(&datagram).expect("a datagram of an edge is read");
-                self.tell(world, Event::Peer { edge: loads.edge, shares: loads.shares });
+                self.tell(world, Event::Peer { edge: loads.edge, scope: loads.scope, shares: loads.shares });
             }
             Message::Refused { number, accepted } => {
                 if self.polling.is_some_and(|polling| polling.number == number) {
@@ -221,16 +219,14 @@
 
     /// Tells the other edges what has changed, in a datagram to each.
     fn tell_peers(&mut self, world: &mut World) {
-        let shares = self.router.take_shares(self.clock(world));
-        if shares.is_empty() {
-            return;
-        }
-        self.datagrams += 1;
         let EdgeIdentity { node, incarnation, .. } = self.identity;
-        let datagram =
-            bitcode::encode(&EdgeLoads { edge: node, incarnation, number: self.datagrams, shares });
-        for edge in self.edge_nodes.iter().filter(|edge| **edge != node) {
-            world.send(node, *edge, Message::Loads(datagram.clone()));
+        for news in self.router.take_load_news(self.clock(world)) {
+            self.datagrams += 1;
+            let (number, scope, shares) = (self.datagrams, news.scope, news.shares);
+            let datagram = bitcode::encode(&EdgeLoads { edge: node, incarnation, number, scope, shares });
+            for edge in news.to {
+                world.send(node, edge, Message::Loads(datagram.clone()));
+            }
         }
     }
 
@@ -343,8 +339,8 @@
             self.tell(world, Event::Servers { records: reply.servers, whole: reply.whole });
         }
         if let Some(nodes) = reply.edge_nodes {
-            self.edge_nodes = nodes;
             self.edge_list = reply.edge_list;
+            self.tell(world, Event::EdgeList { own: self.node(), edges: nodes });
         }
         if reply.edges > 0 && reply.edges != self.edges {
             self.edges = reply.edges;
