--- a/routing/tests/loads.rs
+++ b/routing/tests/loads.rs
@@ -18,6 +18,8 @@
 const INTERVAL: Millis = 100;
 /// Less than the time after which a server counts as silent, and enough to hear of loads.
 const BEFORE_SILENCE: Millis = 300;
+/// What an edge told that is gone no longer counts after this.
+const FORGOTTEN_AFTER: Millis = 3_000;
 /// A prompt that keeps its server from being at ease.
 const LONG: u32 = 4_000;
 /// Half of a prompt that does.
@@ -75,6 +77,12 @@
         }
     }
 
+    /// Takes edges away, and tells the others.
+    fn lose(&mut self, lost: &[NodeId]) {
+        self.edges.retain(|node, _| !lost.contains(node));
+        self.list();
+    }
+
     fn edge(&mut self, number: u32) -> &mut Edge {
         self.edges.get_mut(&NodeId(number)).expect("the edge is there")
     }
@@ -162,12 +170,8 @@
     edges.pass(600);
     for lost in [10, 40, 70, 100, 130] {
         let group: Vec<NodeId> = (lost..lost + 10).map(NodeId).collect();
-        group.iter().for_each(|node| {
-            edges.edges.remove(node);
-        });
-        edges.pass(2_000);
-        edges.list();
-        edges.pass(2_000);
+        edges.lose(&group);
+        edges.pass(FORGOTTEN_AFTER);
         let left = edges.edges.len();
         assert_eq!(edges.choices(), BTreeMap::from([(next.clone(), left)]), "without {group:?}");
     }
@@ -179,8 +183,7 @@
     let mut edges = Edges::new(200);
     edges.send(9, LONG);
     edges.pass(600);
-    edges.edges.remove(&NodeId(9));
-    edges.list();
-    edges.pass(4_000);
+    edges.lose(&[NodeId(9)]);
+    edges.pass(FORGOTTEN_AFTER);
     assert_eq!(edges.choices(), BTreeMap::from([(home, 199)]));
 }
