Bound the loads under way that no request waits for

Change: loads that no request waits for begin only while fewer than 64, or one for five servers, are under way; loads that requests wait for go on to the store's bound.

Test: scarce_room.rs fails without the bound.

--- a/placement/src/rounds.rs
+++ b/placement/src/rounds.rs
@@ -27,6 +27,8 @@
     /// The parts of both that only urgent loads may use.
     spare_rate: usize,
     spare_at_once: isize,
+    /// Loads that no request waits for which may yet be under way.
+    unawaited: isize,
 }
 
 impl LoadBudget {
@@ -34,7 +36,7 @@
         match urgency {
             Urgency::Waiting => self.rate > 0 && self.at_once > -URGENT_BEYOND,
             Urgency::Overloaded | Urgency::Absent => {
-                self.rate > self.spare_rate && self.at_once > self.spare_at_once
+                self.rate > self.spare_rate && self.at_once > self.spare_at_once && self.unawaited > 0
             }
         }
     }
@@ -42,11 +44,16 @@
     fn take(&mut self) {
         self.rate = self.rate.saturating_sub(1);
         self.at_once -= 1;
+        self.unawaited -= 1;
     }
 }
 
 /// Loads for models with waiting requests that may be under way beyond those that the store serves at full speed.
 const URGENT_BEYOND: isize = 2;
+/// Loads that may be under way before only those begin that requests wait for: this many, or one for so many servers. A
+/// server that loads takes no other order, and a store may serve more loads at once than there are servers to spare.
+const MOST_UNAWAITED: usize = 64;
+const SERVERS_PER_UNAWAITED: usize = 5;
 /// Servers for each of which one should have room for another model, so that an urgent load need not wait for an
 /// eviction.
 const SERVERS_PER_SPARE: usize = 6;
@@ -226,12 +233,16 @@
         let reserved =
             self.servers.values().filter(|s| s.reserved.is_some_and(|place| place.from_origin)).count();
         let at_once = self.catalogue.loads_at_once();
+        let under_way = (reserved + self.loads_under_way(now)) as isize;
+        let ready = self.servers.values().filter(|server| server.is_ready()).count();
+        let most_unawaited = MOST_UNAWAITED.max(ready / SERVERS_PER_UNAWAITED);
         let spare = self.origin.limit() as f64 * self.options.urgent_share.clamp(0.0, 1.0);
         LoadBudget {
             rate: self.origin.available(now).saturating_sub(reserved),
-            at_once: at_once as isize - (reserved + self.loads_under_way(now)) as isize,
+            at_once: at_once as isize - under_way,
             spare_rate: spare as usize,
             spare_at_once: isize::from(at_once >= SPARE_FROM),
+            unawaited: most_unawaited as isize - under_way,
         }
     }
 
--- a/placement/tests/scarce_room.rs
+++ b/placement/tests/scarce_room.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::story::{catalogue, demand, Story};
+use common::story::{catalogue, demand, waiting, Story};
 use shaletrail_placement::{Catalogue, ModelSpec};
 use shaletrail_protocol::inside::Demand;
 
@@ -64,6 +64,26 @@
     }
 }
 
+#[test]
+fn given_a_store_that_serves_more_loads_than_there_are_servers_when_one_model_wants_all_then_some_stay_free()
+{
+    let empty: Vec<&[&str]> = vec![&[]; 200];
+    let mut story = Story::new(3, &empty);
+    story.heartbeat(0, &["m0"]);
+    story.planner.set_catalogue(Catalogue { load_per_s: 1_000.0, ..catalogue(3) });
+    story.now += 1_000;
+    let mut loads = 0;
+    for _ in 0..30 {
+        story.ask(&[busy("m0", 20 * TOKENS_OF_EIGHT)]);
+        loads += story.after(10).iter().filter(|order| order.contains("load m0")).count();
+    }
+    assert_eq!(loads, 64);
+
+    story.ask(&[waiting("m1")]);
+    let orders = story.after(10);
+    assert!(orders.iter().any(|order| order.contains("load m1")), "{orders:?}");
+}
+
 #[test]
 fn given_models_of_several_sizes_when_counted_then_a_servers_places_are_those_of_servers_filled_well() {
     let places = |sizes: &[f64], weights_mb: f64| {
