Keep what a replica needs that catches up; remember erased journals; halt unreadable shards

Change: a leader's compaction keeps the entries that a replica needs next, up to 24 MiB, while it makes progress, and rejects proposals at that bound where the next loss would leave a group that hangs on it (consensus/src/retention.rs). Erasing leaves a durable mark, by which a voter without records is recovering whatever bootstrap says.

Tests changed: two stories fell behind by a cut shorter than a second, after which a leader now still has the entries; they cut longer. follower_catches_up_under_steady_load compared two machines at one instant; it waits for the last entry of the leader now.

--- a/consensus/src/apply.rs
+++ b/consensus/src/apply.rs
@@ -2,6 +2,7 @@
 
 use crate::effect::Effect;
 use crate::entry::Index;
+use crate::log::Retention;
 use crate::record::{Record, Snapshot};
 use crate::replica::Replica;
 use crate::restore::BOOTSTRAP_INDEX;
@@ -18,7 +19,8 @@
         let voters = self.log.voters_at(index).clone();
         let snapshot = Snapshot { position, voters, state: state.into() };
         self.persistence.record(Record::Snapshot(snapshot.clone()));
-        self.log.install(snapshot, self.options.retain_bytes);
+        let retention = Retention { bytes: self.options.retain_bytes, first: self.first_needed_by_peers() };
+        self.log.install(snapshot, retention);
     }
 
     /// All that must be kept, for a checkpoint that replaces all earlier records, those included that are still
@@ -37,7 +39,7 @@
     pub(crate) fn install_snapshot(&mut self, snapshot: Snapshot) {
         self.persistence.record(Record::Snapshot(snapshot.clone()));
         self.persistence.on_truncated(0);
-        self.log.install(snapshot.clone(), 0);
+        self.log.install(snapshot.clone(), Retention::default());
         self.commit_index = snapshot.index();
         self.applied_index = snapshot.index();
         self.apply_snapshot(snapshot);
--- a/consensus/src/leader.rs
+++ b/consensus/src/leader.rs
@@ -41,7 +41,7 @@
     /// # Errors
     ///
     /// [`ReplicaError::NotLeader`], [`ReplicaError::TooLarge`] for a command over [`Options::max_command_bytes`], and
-    /// [`ReplicaError::Busy`] where too much is uncommitted already.
+    /// [`ReplicaError::Busy`] where too much is uncommitted already, or a voter that the group will need is too far behind.
     ///
     /// [`Options::max_command_bytes`]: crate::Options::max_command_bytes
     pub fn propose(&mut self, now: Millis, command: Vec<u8>) -> Result<Index, ReplicaError> {
@@ -57,7 +57,7 @@
         let uncommitted_bytes = self.log.bytes_after(self.commit_index);
         let is_full = uncommitted >= self.options.max_uncommitted_entries
             || (uncommitted > 0 && uncommitted_bytes + size > self.options.max_uncommitted_bytes);
-        if is_full {
+        if is_full || self.must_hold_proposals(size) {
             return Err(ReplicaError::Busy);
         }
         Ok(self.append_entry(Payload::Command(command.into())))
--- a/consensus/src/leader_state.rs
+++ b/consensus/src/leader_state.rs
@@ -35,6 +35,8 @@
     pub heartbeat_at: Millis,
     /// Reads that are not confirmed yet, oldest first.
     pub pending_reads: VecDeque<PendingRead>,
+    /// Whether proposals are rejected until the voters that are behind have caught up.
+    pub holds_proposals: bool,
     /// Whether every peer gets a heartbeat with the next effects.
     pub heartbeat_pending: bool,
     /// Whether the commit index rose and is announced to every peer with the next effects.
@@ -52,6 +54,7 @@
             round: 0,
             heartbeat_at: now,
             pending_reads: VecDeque::new(),
+            holds_proposals: false,
             heartbeat_pending: true,
             commit_broadcast_pending: false,
         }
--- a/consensus/src/lib.rs
+++ b/consensus/src/lib.rs
@@ -10,7 +10,7 @@
 //! | --- | --- |
 //! | the state of a replica and its roles; how it begins; calls of the driver | `replica`, `restore`, `step` |
 //! | elections, leadership transfer, leases | `election`, `transfer`, `lease` |
-//! | the leader: its term, replication and commits, reads | `leader`, `leader_state`, `progress`, `replication`, `read_index` |
+//! | the leader: its term, replication and commits, catching up, reads | `leader`, `leader_state`, `progress`, `replication`, `retention`, `read_index` |
 //! | the follower: messages of a leader | `follower` |
 //! | membership and quorums | `membership`, `voters` |
 //! | log, state machine, persistence, sending | `log`, `entry`, `apply`, `persistence`, `record`, `send` |
@@ -90,6 +90,7 @@
 mod replica;
 mod replication;
 mod restore;
+mod retention;
 mod send;
 mod step;
 mod transfer;
--- a/consensus/src/log.rs
+++ b/consensus/src/log.rs
@@ -9,6 +9,15 @@
 use crate::record::Snapshot;
 use crate::voters::VoterSet;
 
+/// Which of the entries that a snapshot covers stay in the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Retention {
+    /// The newest of them, up to this size.
+    pub bytes: usize,
+    /// All from this one on, whatever their size.
+    pub first: Option<Index>,
+}
+
 /// A set of voters and the index of the entry that brought it.
 #[derive(Clone, Debug)]
 struct VoterSetAt {
@@ -148,13 +157,13 @@
     }
 
     /// Takes over a snapshot. Entries after it stay where its last entry is in the log; else all are dropped.
-    /// Entries that it covers stay as far as they fit in `retain` bytes. One older than the present is left out.
-    pub fn install(&mut self, snapshot: Snapshot, retain: usize) {
+    /// Entries that it covers stay as far as `retention` says. One older than the present is left out.
+    pub fn install(&mut self, snapshot: Snapshot, retention: Retention) {
         if snapshot.index() < self.snapshot_index() {
             return;
         }
         if self.contains(snapshot.position) {
-            self.trim_covered(&snapshot, retain);
+            self.trim_covered(&snapshot, retention);
         } else {
             self.entries.clear();
             self.voter_sets.clear();
@@ -165,15 +174,16 @@
         self.snapshot = Some(snapshot);
     }
 
-    /// Drops the entries that a snapshot covers, but for the newest `retain` bytes of them.
-    fn trim_covered(&mut self, snapshot: &Snapshot, retain: usize) {
+    /// Drops the entries that a snapshot covers, but for those that are retained.
+    fn trim_covered(&mut self, snapshot: &Snapshot, retention: Retention) {
         let mut size = 0;
         let covered = self.entries.iter().rev().skip_while(|entry| entry.index > snapshot.index());
         let retained = covered.take_while(|entry| {
             size += entry.size();
-            size <= retain
+            size <= retention.bytes
         });
-        let first_retained = retained.last().map_or(snapshot.index() + 1, |entry| entry.index);
+        let first_by_size = retained.last().map_or(snapshot.index() + 1, |entry| entry.index);
+        let first_retained = retention.first.map_or(first_by_size, |first| first.min(first_by_size));
         while self.entries.front().is_some_and(|entry| entry.index < first_retained) {
             if let Some(entry) = self.entries.pop_front() {
                 self.base = entry.position();
--- a/consensus/src/options.rs
+++ b/consensus/src/options.rs
@@ -51,6 +51,11 @@
     pub max_peers: usize,
     /// Size of the entries kept in memory behind a snapshot, for followers that are a little behind.
     pub retain_bytes: usize,
+    /// Size of the entries kept by a leader for a replica that is catching up, while it makes progress.
+    pub max_catch_up_bytes: usize,
+    /// A replica that acknowledges no further entries for so long, beyond the time that they need on the slowest link, is
+    /// not waited for.
+    pub catch_up_stall_ms: Millis,
 }
 
 impl Options {
@@ -79,6 +84,13 @@
             max_pending_reads: 1024,
             max_peers: 64,
             retain_bytes: 1 << 20,
+            max_catch_up_bytes: 24 << 20,
+            catch_up_stall_ms: 10_000,
         }
     }
+
+    /// How long a message of this size may take on the slowest link that is expected.
+    pub(crate) fn transfer_ms(&self, bytes: usize) -> Millis {
+        (bytes / self.resend_bytes_per_ms.max(1)) as Millis
+    }
 }
--- a/consensus/src/progress.rs
+++ b/consensus/src/progress.rs
@@ -61,6 +61,10 @@
     /// The stamp and size of the last message with entries.
     last_sent: RoundStamp,
     last_sent_bytes: usize,
+    /// The last entry of the snapshot that is in flight.
+    pending_snapshot: Option<Index>,
+    /// Since when it has acknowledged no further entries although some are on their way to it and it responds.
+    waiting_since: Option<Millis>,
     /// The newest stamp acknowledged by the disk that is known.
     last_ack: Option<RoundStamp>,
     /// The newest round responded to, whether that counts or not.
@@ -82,6 +86,8 @@
             in_flight_bytes: 0,
             last_sent: RoundStamp::default(),
             last_sent_bytes: 0,
+            pending_snapshot: None,
+            waiting_since: None,
             last_ack: None,
             last_response_round: 0,
             disk_id: None,
@@ -149,6 +155,30 @@
         self.disk_id.filter(|_| point <= commit && point <= self.matched)
     }
 
+    /// The first entry that it needs next; `None` while it is not known how far its log matches.
+    pub fn first_needed(&self) -> Option<Index> {
+        let held = self.pending_snapshot.or((self.matched > 0).then_some(self.matched));
+        held.map(|index| index + 1)
+    }
+
+    /// Whether a snapshot is on its way to it.
+    pub fn is_receiving_snapshot(&self) -> bool {
+        self.pending_snapshot.is_some()
+    }
+
+    /// Whether it responds, and its disk goes on acknowledging what was sent.
+    pub fn is_making_progress(&self, now: Millis, options: &Options) -> bool {
+        let stall_ms = options.catch_up_stall_ms + options.transfer_ms(self.in_flight_bytes);
+        let is_stalled = self.waiting_since.is_some_and(|since| now >= since + stall_ms);
+        self.is_in_contact(now, options) && !is_stalled
+    }
+
+    /// Whether it has responded lately. Responses queue up behind the entries that are in flight.
+    fn is_in_contact(&self, now: Millis, options: &Options) -> bool {
+        let limit = options.election_max_ms + options.transfer_ms(self.in_flight_bytes);
+        self.last_ack.is_some_and(|stamp| now <= stamp.sent_at + limit)
+    }
+
     /// A message that ends with `last` was sent.
     pub fn record_sent(&mut self, last: Index, bytes: usize, stamp: RoundStamp) {
         self.in_flight.push_back(InFlight { last, bytes });
@@ -156,6 +186,13 @@
         self.next = last + 1;
         self.last_sent = stamp;
         self.last_sent_bytes = bytes;
+        self.waiting_since.get_or_insert(stamp.sent_at);
+    }
+
+    /// A snapshot that ends with `last` was sent.
+    pub fn record_snapshot_sent(&mut self, last: Index, bytes: usize, stamp: RoundStamp) {
+        self.record_sent(last, bytes, stamp);
+        self.pending_snapshot = Some(last);
     }
 
     /// Checks the status in a response, and starts anew with a new disk. `next` is the entry after the leader's last.
@@ -201,15 +238,21 @@
     }
 
     /// Records the stamp of a response; one from the future is none of this leader's.
-    pub fn record_ack(&mut self, stamp: RoundStamp, now: Millis) {
+    pub fn record_ack(&mut self, stamp: RoundStamp, now: Millis, options: &Options) {
         let newest = self.last_ack.unwrap_or_default();
-        if stamp.round >= newest.round && stamp.sent_at <= now {
-            self.last_ack = Some(stamp);
+        if stamp.round < newest.round || stamp.sent_at > now {
+            return;
+        }
+        if !self.is_in_contact(now, options) {
+            // What was sent while it was unreachable says nothing of its disk.
+            self.waiting_since = self.waiting_since.map(|_| now);
         }
+        self.last_ack = Some(stamp);
     }
 
     /// Its log matches up to `index`, and is synced.
-    pub fn on_matched(&mut self, index: Index) {
+    pub fn on_matched(&mut self, index: Index, now: Millis) {
+        let is_advance = index > self.matched;
         while let Some(first) = self.in_flight.front().filter(|first| first.last <= index) {
             self.in_flight_bytes -= first.bytes;
             self.in_flight.pop_front();
@@ -217,6 +260,12 @@
         }
         self.matched = self.matched.max(index);
         self.next = self.next.max(index + 1);
+        self.pending_snapshot = self.pending_snapshot.filter(|snapshot| *snapshot > index);
+        if self.in_flight.is_empty() {
+            self.waiting_since = None;
+        } else if is_advance {
+            self.waiting_since = Some(now);
+        }
     }
 
     /// Its log matches up to `hint` at most. A response to an older probe than the last says nothing new.
@@ -230,7 +279,7 @@
     /// that the last message may take rises with its size.
     pub fn resend_if_lost(&mut self, received: Index, stamp: RoundStamp, now: Millis, options: &Options) {
         let Some(last) = self.in_flight.back() else { return };
-        let transfer_ms = (self.last_sent_bytes / options.resend_bytes_per_ms.max(1)) as Millis;
+        let transfer_ms = options.transfer_ms(self.last_sent_bytes);
         let lost_at = self.last_sent.sent_at + options.resend_after_ms + transfer_ms;
         if last.last > received && stamp.round > self.last_sent.round && now >= lost_at {
             self.restart_at(received);
@@ -249,6 +298,7 @@
     fn restart_at(&mut self, index: Index) {
         self.in_flight.clear();
         self.in_flight_bytes = 0;
+        self.pending_snapshot = None;
         self.state = ProgressState::Probe;
         self.next = index.min(self.next.saturating_sub(1)).max(self.matched) + 1;
     }
--- a/consensus/src/replica.rs
+++ b/consensus/src/replica.rs
@@ -14,7 +14,7 @@
 use crate::message::VoterStatus;
 use crate::options::Options;
 use crate::persistence::Persistence;
-use crate::record::HardState;
+use crate::record::{HardState, Record};
 use crate::voters::VoterSet;
 
 /// What a replica does in its group.
@@ -140,6 +140,18 @@
         self.hard_state.recovering
     }
 
+    /// Counts as a voter that lost its disk, from the returned records on, for an owner whose state machine lacks what the
+    /// group has decided. Term and vote stay: they were promised by this disk. The owner must not call the replica again
+    /// except to look at it, as effects that were not taken are dropped.
+    #[must_use]
+    pub fn lose_state(&mut self) -> Vec<Record> {
+        self.become_follower(self.hard_state.term, None);
+        self.hard_state.recovering = true;
+        self.hard_state.disk_id = self.random.random();
+        self.effects.clear();
+        vec![Record::HardState(self.hard_state.clone())]
+    }
+
     /// Advances the clock; it never goes back, so that no lease given to a leader gets shorter.
     pub(crate) fn set_now(&mut self, now: Millis) {
         self.now = self.now.max(now);
--- a/consensus/src/replication.rs
+++ b/consensus/src/replication.rs
@@ -64,9 +64,9 @@
         }
         match peer.check_status(status, stamp, next) {
             StatusCheck::Stale => return false,
-            StatusCheck::Current => peer.record_ack(stamp, self.now),
+            StatusCheck::Current => peer.record_ack(stamp, self.now, &self.options),
             StatusCheck::NewlyRecovering => {
-                peer.record_ack(stamp, self.now);
+                peer.record_ack(stamp, self.now, &self.options);
                 peer.set_rejoin_index(next);
                 self.append_entry(Payload::Empty);
             }
@@ -85,7 +85,7 @@
         let RoleState::Leader(leader_state) = &mut self.role_state else { return };
         let Some(peer) = leader_state.peers.get_mut(&from) else { return };
         if matched > 0 && matched <= self.log.last().index {
-            peer.on_matched(matched);
+            peer.on_matched(matched, self.now);
         }
         peer.resend_if_lost(received, stamp, self.now, &self.options);
         peer.probe_if_restarted(received);
@@ -98,7 +98,7 @@
         let RoleState::Leader(leader_state) = &mut self.role_state else { return };
         let Some(peer) = leader_state.peers.get_mut(&from) else { return };
         match outcome {
-            AppendOutcome::Matched(index) if index <= last => peer.on_matched(index),
+            AppendOutcome::Matched(index) if index <= last => peer.on_matched(index, self.now),
             AppendOutcome::Matched(_) => return,
             AppendOutcome::Conflict(hint) => peer.on_conflict(hint, stamp),
         }
@@ -168,7 +168,7 @@
 
     fn install_snapshot(&self, peer: &mut Progress) -> Option<Message> {
         let snapshot = self.log.snapshot()?.clone();
-        peer.record_sent(snapshot.index(), snapshot.state.len(), self.stamp);
+        peer.record_snapshot_sent(snapshot.index(), snapshot.state.len(), self.stamp);
         Some(Message::InstallSnapshot { term: self.term, snapshot, stamp: self.stamp })
     }
 }
--- a/consensus/src/restore.rs
+++ b/consensus/src/restore.rs
@@ -5,7 +5,7 @@
 use shaletrail_protocol::{Millis, NodeId};
 
 use crate::entry::{Index, LogPosition};
-use crate::log::Log;
+use crate::log::{Log, Retention};
 use crate::options::Options;
 use crate::persistence::Persistence;
 use crate::record::{HardState, Record, Snapshot};
@@ -96,7 +96,7 @@
         match record {
             Record::HardState(newer) => hard_state = Some(newer),
             Record::Entries(entries) => log.restore(entries),
-            Record::Snapshot(snapshot) => log.install(snapshot, 0),
+            Record::Snapshot(snapshot) => log.install(snapshot, Retention::default()),
         }
     }
     (hard_state, log)
--- a/consensus/tests/group/machine.rs
+++ b/consensus/tests/group/machine.rs
@@ -93,6 +93,8 @@
     pub disk: Disk,
     pub is_paused: bool,
     pub is_disk_stalled: bool,
+    /// How long each sync takes, where the disk is slower than the group's conditions say.
+    pub sync_ms: Option<Millis>,
     /// Removed for good; it never runs again.
     pub is_removed: bool,
     /// Whether it has lost a disk.
@@ -114,6 +116,7 @@
             disk: Disk::default(),
             is_paused: false,
             is_disk_stalled: false,
+            sync_ms: None,
             is_removed: false,
             has_lost_disk: false,
             inbox: Vec::new(),
--- a/consensus/tests/group/mod.rs
+++ b/consensus/tests/group/mod.rs
@@ -37,6 +37,8 @@
     pub filter: Option<Filter>,
     /// Links that lose everything, as sender and receiver.
     pub blocked_links: BTreeSet<(NodeId, NodeId)>,
+    /// What links add to the delay of each message, as sender and receiver, in milliseconds.
+    pub slow_links: BTreeMap<(NodeId, NodeId), Millis>,
     /// Which messages are recorded, whether they arrive or not, for [`Group::replay_recorded`].
     pub should_record: fn(&Message) -> bool,
     recorded: Vec<MessageInTransit>,
@@ -87,6 +89,7 @@
             random: Pcg32::seed_from_u64(seed),
             filter: None,
             blocked_links: BTreeSet::new(),
+            slow_links: BTreeMap::new(),
             should_record: |_| false,
             recorded: Vec::new(),
             sent: BTreeMap::new(),
@@ -203,8 +206,8 @@
         match effect {
             Effect::Send(to, message) => self.send(node, to, message),
             Effect::Persist { ticket, records } => {
-                let delay = self.random.random_range(0..=self.conditions.max_sync_ms);
-                let due = self.now + delay;
+                let drawn = self.random.random_range(0..=self.conditions.max_sync_ms);
+                let due = self.now + self.machine(node).sync_ms.unwrap_or(drawn);
                 self.machine(node).disk.enqueue(ticket, records, due);
             }
             Effect::Apply(entry) => {
--- a/consensus/tests/group/network.rs
+++ b/consensus/tests/group/network.rs
@@ -120,7 +120,8 @@
     }
 
     fn schedule(&mut self, message: MessageInTransit) {
-        let at = self.now + self.random.random_range(1..=self.conditions.max_delay_ms);
+        let slower_by = self.slow_links.get(&(message.from, message.to)).copied().unwrap_or(0);
+        let at = self.now + slower_by + self.random.random_range(1..=self.conditions.max_delay_ms);
         self.sequence += 1;
         self.in_transit.insert((at, self.sequence), message);
     }
--- a/consensus/tests/replication.rs
+++ b/consensus/tests/replication.rs
@@ -180,6 +180,8 @@
     for _ in 0..30 {
         group.commit_one();
     }
+    // As long as it may only be late, the leader keeps what it needs.
+    group.run(2 * Options::new(leader, 0).election_max_ms);
     group.machine(leader).compact();
     let index = group.commit_one();
     assert!(group.replica(behind).last().index < 10);
--- a/consensus/tests/snapshot_scenarios.rs
+++ b/consensus/tests/snapshot_scenarios.rs
@@ -7,7 +7,10 @@
     draw, draw_node, flip_coin, heal_and_await_leader, play_all, propose_and_read_at_leaders, run_up_to,
 };
 use group::{Conditions, Group};
-use shaletrail_protocol::NodeId;
+use shaletrail_protocol::{Millis, NodeId};
+
+/// After so long without a response a follower counts as unreachable.
+const OUT_OF_CONTACT_MS: Millis = 2_000;
 
 /// A group of three that retains no entries behind a snapshot.
 fn bootstrapped_without_retained_entries(seed: u64) -> Group {
@@ -26,6 +29,8 @@
         propose_and_read_at_leaders(group);
         group.run(20);
     }
+    // As long as it may only be late, the leader keeps what it needs.
+    group.run(OUT_OF_CONTACT_MS);
     group.machine(leader).compact();
     group.call(leader, |_, _| ());
     behind
@@ -127,6 +132,7 @@
     let distance = group.machines[&leader].applied - group.machines[&behind].applied;
     assert!(group.sent.contains_key("InstallSnapshot"));
     assert!(distance < 20, "{distance} entries behind: {}", group.describe());
-    group.await_applied();
+    let last = group.replica(leader).last().index;
+    assert!(group.run_until(8000, |group| group.all_applied(last)), "{}", group.describe());
     assert_eq!(group.machines[&behind].commands, group.machines[&leader].commands);
 }
--- a/coordinator/src/core/shards.rs
+++ b/coordinator/src/core/shards.rs
@@ -110,14 +110,14 @@
     /// Delivers a peer's message to a shard; one that cannot be decoded is ignored.
     pub fn receive(&mut self, now: Millis, from: NodeId, shard: u32, body: &[u8]) {
         let Ok(message) = bitcode::decode::<Message>(body) else { return };
-        if let Some(replica) = self.replica_mut(shard) {
-            replica.receive(now, from, message);
+        if let Some(shard) = self.shards.get_mut(shard as usize).filter(|shard| !shard.is_halted) {
+            shard.replica.receive(now, from, message);
         }
     }
 
     /// Time has passed.
     pub fn tick(&mut self, now: Millis) {
-        for shard in &mut self.shards {
+        for shard in self.shards.iter_mut().filter(|shard| !shard.is_halted) {
             shard.replica.tick(now);
         }
     }
@@ -125,7 +125,10 @@
     /// All records up to and including a ticket are synced to disk.
     pub fn on_persisted(&mut self, now: Millis, ticket: u64) {
         while let Some(synced) = self.unsynced.pop_front_if(|unsynced| unsynced.ticket <= ticket) {
-            self.shards[synced.shard].replica.persisted(now, synced.replica_ticket);
+            let shard = &mut self.shards[synced.shard];
+            if !shard.is_halted {
+                shard.replica.persisted(now, synced.replica_ticket);
+            }
         }
     }
 
@@ -148,7 +151,7 @@
     pub fn process_effects(&mut self, actions: &mut Vec<Action>) -> Vec<ShardEvent> {
         let mut output = EffectsOutput::default();
         for number in 0..self.shards.len() {
-            loop {
+            while !self.shards[number].is_halted {
                 let effects = self.shards[number].replica.take_effects();
                 if effects.is_empty() {
                     break;
@@ -168,7 +171,7 @@
         replica_tickets: Vec<(usize, u64)>,
         actions: &mut Vec<Action>,
     ) {
-        if replica_tickets.is_empty() {
+        if records.is_empty() {
             return;
         }
         self.last_ticket += 1;
@@ -190,6 +193,10 @@
         output: &mut EffectsOutput,
     ) {
         let shard = number as u32;
+        if self.shards[number].is_halted {
+            // What is left of the effects rests on the snapshot: its acknowledgement, and its record.
+            return;
+        }
         match effect {
             Effect::Send(to, message) => {
                 let body = bitcode::encode(&message);
@@ -205,7 +212,7 @@
                 if self.shards[number].state.restore(&snapshot.state) || snapshot.state.is_empty() {
                     self.campaign_soon_if_last_holder(number);
                 } else {
-                    actions.push(Action::LogStateChange(StateChange::UnreadableRecords { shard }));
+                    self.halt(number, actions, output);
                 }
             }
             Effect::ReadReady { token, .. } => output.events.push(ShardEvent::ReadReady { token }),
@@ -215,6 +222,19 @@
         }
     }
 
+    /// Ends the part that this node takes in a shard whose snapshot its state machine cannot read: to go on from the old
+    /// state would apply later entries to it, and to acknowledge the snapshot would let others rely on it. On disk the
+    /// voter is recovering from now on, as if its disk had been lost, so that it counts for nothing after a restart either
+    /// until it has got a snapshot that it can read.
+    fn halt(&mut self, number: usize, actions: &mut Vec<Action>, output: &mut EffectsOutput) {
+        let shard = &mut self.shards[number];
+        shard.is_halted = true;
+        for record in shard.replica.lose_state() {
+            output.records.push((number as u32, record.encode()));
+        }
+        actions.push(Action::LogStateChange(StateChange::UnreadableSnapshot { shard: number as u32 }));
+    }
+
     /// A node that held the order lease last may go on at once; any other would have to wait for the lease to end.
     fn campaign_soon_if_last_holder(&mut self, number: usize) {
         let node = self.node;
--- a/coordinator/src/core/shards/recovery.rs
+++ b/coordinator/src/core/shards/recovery.rs
@@ -18,7 +18,8 @@
 }
 
 /// All shards as the journal held them. A shard whose records cannot be decoded starts without them, as a recovering voter
-/// that counts for no quorum until a leader has readmitted it.
+/// that counts for no quorum until a leader has readmitted it. So does one without records whose journal was erased: what
+/// it has forgotten may be a vote, or an entry that was acknowledged, of the very group that is being founded.
 pub(super) fn recover(
     options: &CoordinatorOptions,
     stored: Vec<StoredRecord>,
@@ -33,7 +34,7 @@
             records.clear();
             actions.push(Action::LogStateChange(StateChange::UnreadableRecords { shard }));
         }
-        let recovering = !options.bootstrap || is_unreadable;
+        let recovering = !options.bootstrap || options.lost_state || is_unreadable;
         let seed = options.seed.wrapping_add(u64::from(shard));
         let replica_options = Options { recovering, ..Options::new(options.node, seed) };
         let mut replica = Replica::new(replica_options, records, now);
--- a/coordinator/src/core/shards/shard.rs
+++ b/coordinator/src/core/shards/shard.rs
@@ -20,6 +20,8 @@
     pub replica: Replica,
     pub(super) state: StateMachine,
     pub(super) started_at: Millis,
+    /// Whether the replica takes no part any more: its state machine lacks what the group has decided.
+    pub(super) is_halted: bool,
     /// Bytes of the commands that were applied since the last snapshot.
     applied_bytes: usize,
     /// The last entry that the newest snapshot of this process covers.
@@ -35,6 +37,7 @@
             replica,
             state: StateMachine::new(shard),
             started_at: now,
+            is_halted: false,
             applied_bytes: 0,
             compacted_at: 0,
             snapshot_bytes: 0,
--- a/coordinator/src/driver/host/log.rs
+++ b/coordinator/src/driver/host/log.rs
@@ -29,6 +29,9 @@
         StateChange::QuorumContactChanged(has_contact) => {
             warn!(log, "quorum contact changed"; "has_contact" => has_contact)
         }
+        StateChange::UnreadableSnapshot { shard } => {
+            warn!(log, "snapshot of shard is unreadable, shard is halted until the next start"; "shard" => shard)
+        }
         StateChange::UnreadableRecords { shard } => {
             warn!(log, "records of shard are unreadable"; "shard" => shard)
         }
--- a/coordinator/src/driver/journal/open.rs
+++ b/coordinator/src/driver/journal/open.rs
@@ -36,6 +36,8 @@
     pub journal: Journal<FolderDisk>,
     /// Its records, oldest first.
     pub stored: Vec<StoredRecord>,
+    /// Whether a journal of this directory was ever corrupt and erased.
+    pub was_erased: bool,
 }
 
 /// Opens the journal in a directory, and tries again while that fails. Blocks the thread.
@@ -67,7 +69,10 @@
 fn try_open(folder: &Path, options: &Options, log: &Logger) -> Result<OpenedJournal, OpenJournalError> {
     let disk = FolderDisk::open(folder).context(DirectorySnafu)?;
     match Journal::open(disk, options) {
-        Ok(opened) => Ok(OpenedJournal { journal: opened.journal, stored: opened.stored }),
+        Ok(opened) => {
+            let was_erased = opened.erased;
+            Ok(OpenedJournal { journal: opened.journal, stored: opened.stored, was_erased })
+        }
         Err(error) => {
             if matches!(error, StorageError::Corrupt { .. }) {
                 error!(log, "journal is corrupt, erasing it to rejoin as a recovering voter"; "error" => %error);
--- a/coordinator/src/interface.rs
+++ b/coordinator/src/interface.rs
@@ -32,6 +32,9 @@
     pub seeds: Vec<NodeId>,
     /// Whether the whole system starts for the first time, so that the seeds become the first voters.
     pub bootstrap: bool,
+    /// Whether records of this node were lost once: without any it is recovering then, also while the system starts for the
+    /// first time.
+    pub lost_state: bool,
     /// Number of coordinators that may be lost at once; `2 * hosts_lost + 1` of them vote.
     pub hosts_lost: u32,
     /// Interval between two heartbeats of a server.
@@ -55,6 +58,7 @@
             incarnation,
             seeds: settings.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect(),
             bootstrap: settings.bootstrap,
+            lost_state: false,
             hosts_lost: settings.tolerated_host_losses,
             heartbeat_interval: settings.heartbeat_interval,
             order_lease: settings.bounds.lease,
@@ -258,6 +262,11 @@
     },
     /// The node has gained (`true`) or lost (`false`) contact with a quorum of the configuration's voters.
     QuorumContactChanged(bool),
+    /// A leader's snapshot cannot be decoded: the shard takes no part until the process starts again, as a recovering voter.
+    UnreadableSnapshot {
+        /// The shard.
+        shard: u32,
+    },
     /// Records on disk cannot be decoded: the shard starts as a recovering voter without them.
     UnreadableRecords {
         /// The shard.
--- a/coordinator/tests/common/simulated_cluster.rs
+++ b/coordinator/tests/common/simulated_cluster.rs
@@ -5,7 +5,7 @@
 
 use shaletrail_consensus::{Record, Replica};
 use shaletrail_coordinator::core::Coordinator;
-use shaletrail_coordinator::interface::{Action, CallId, Event};
+use shaletrail_coordinator::interface::{Action, CallId, CoordinatorOptions, Event};
 use shaletrail_protocol::internal::{CoordinatorMessage, OperatorCall, OperatorResponse};
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
 use shaletrail_storage::StoredRecord;
@@ -39,6 +39,8 @@
     core: Option<Coordinator>,
     seeds: Vec<NodeId>,
     synced: Vec<StoredRecord>,
+    /// Whether its journal was corrupt once and erased.
+    was_erased: bool,
     pending_syncs: VecDeque<PendingSync>,
     clock_offset: Millis,
     /// [`Millis::MAX`] once the process was requested to shut down.
@@ -145,6 +147,7 @@
             core: None,
             seeds: seeds.to_vec(),
             synced: Vec::new(),
+            was_erased: false,
             pending_syncs: VecDeque::new(),
             clock_offset,
             next_tick: 0,
@@ -175,10 +178,18 @@
         self.start_as(node, false);
     }
 
+    /// Starts a process again while its settings still say that the whole system starts for the first time.
+    pub fn start_at_founding(&mut self, node: NodeId) {
+        self.start_as(node, true);
+    }
+
     fn start_as(&mut self, node: NodeId, bootstrap: bool) {
         let incarnation = Incarnation(self.random_below(u64::MAX));
         let seeds = &self.machines[&node].seeds;
-        let options = coordinator_options(node, seeds, bootstrap, self.hosts_lost, incarnation);
+        let options = CoordinatorOptions {
+            lost_state: self.machines[&node].was_erased,
+            ..coordinator_options(node, seeds, bootstrap, self.hosts_lost, incarnation)
+        };
         let now = self.now;
         let first_tick = now + self.random_below(TICK);
         let machine = self.machine(node);
@@ -229,6 +240,12 @@
         self.machine(node).synced.clear();
     }
 
+    /// The machine loses power, and its journal turns out to be corrupt: it is erased, as the driver does.
+    pub fn erase_corrupt_journal(&mut self, node: NodeId) {
+        self.wipe(node);
+        self.machine(node).was_erased = true;
+    }
+
     /// Corrupts all that the disk holds of a shard but its hard state.
     pub fn corrupt_log(&mut self, node: NodeId, shard: u32) {
         let is_hard =
--- a/coordinator/tests/disk_loss.rs
+++ b/coordinator/tests/disk_loss.rs
@@ -52,6 +52,60 @@
     });
 }
 
+/// A change that one voter has not got is acknowledged while settings still say that the system starts for the first time.
+/// All lose power; the journal of the other follower is corrupt and erased. They start again in this order, the last one
+/// much later: of the lagging voter (0), the one that has lost its journal (1) and the former leader (2).
+fn corrupt_journal_at_founding(seed: u64, order: [usize; 3]) {
+    // given
+    let mut cluster = SimulatedCluster::bootstrapped(1, seed);
+    let leader = cluster.leader_of(CONFIGURATION).expect("a leader");
+    let voters = cluster.running();
+    let followers = cluster.rotate_without(&voters, &[leader]);
+    let nodes = [followers[0], followers[1], leader];
+    cluster.isolate(nodes[0]);
+    cluster.commit_change();
+
+    // when
+    voters.iter().for_each(|node| cluster.lose_power(*node));
+    cluster.erase_corrupt_journal(nodes[1]);
+    cluster.heal();
+    for (position, started) in order.into_iter().enumerate() {
+        let pause = if position == 2 { 3_000 } else { 200 };
+        cluster.run(pause);
+        cluster.start_at_founding(nodes[started]);
+    }
+
+    // then
+    cluster.assert_available();
+    let is_readmitted = |cluster: &SimulatedCluster| !cluster.is_recovering_on_disk(nodes[1]);
+    assert!(cluster.run_until(6_000, is_readmitted), "seed {seed}, {order:?}: {}", cluster.describe());
+}
+
+#[test]
+fn change_survives_corrupt_journal_at_founding() {
+    let orders = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
+    SEEDS.for_each(|seed| orders.iter().for_each(|order| corrupt_journal_at_founding(seed, *order)));
+}
+
+#[test]
+fn two_corrupt_journals_found_no_second_group() {
+    SEEDS.for_each(|seed| {
+        // given
+        let mut cluster = SimulatedCluster::bootstrapped(1, seed);
+        let voters = cluster.running();
+        voters.iter().for_each(|node| cluster.lose_power(*node));
+        // when
+        voters[..2].iter().for_each(|node| cluster.erase_corrupt_journal(*node));
+        voters[..2].iter().for_each(|node| cluster.start_at_founding(*node));
+        cluster.run(5_000);
+        // then
+        assert_eq!(cluster.leader_of(CONFIGURATION), None, "seed {seed}");
+        cluster.start_at_founding(voters[2]);
+        cluster.run(5_000);
+        assert_eq!(cluster.leader_of(CONFIGURATION), None, "seed {seed}");
+    });
+}
+
 /// Machines are removed and replaced or lose their disks, one round after the other; in each round the losses begin in
 /// the moment in which the last ones are made good.
 fn play_history(hosts_lost: usize, seed: u64) {
--- a/coordinator/tests/driver_journal.rs
+++ b/coordinator/tests/driver_journal.rs
@@ -1,12 +1,17 @@
 //! The order in which appends reach the journal's thread, and the events that its reports stand for.
 
 use std::cell::RefCell;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
-use shaletrail_coordinator::driver::journal::{event_of, JournalQueue, JournalThread};
+use shaletrail_coordinator::driver::journal::{
+    event_of, open_journal, JournalQueue, JournalThread, OpenedJournal,
+};
 use shaletrail_coordinator::interface::Event;
+use shaletrail_protocol::settings::Settings;
 use shaletrail_storage::{Command, RejectReason, RejectedCommand, StorageError, WriterEvent};
+use slog::{o, Discard, Logger};
 
 /// A journal's thread that rejects appends as a test wants it.
 #[derive(Clone, Default)]
@@ -88,3 +93,66 @@
     assert!(event_of(&checkpointed).is_none());
     assert!(event_of(&WriterEvent::Stopped).is_none());
 }
+
+/// A folder for one test, removed with it.
+struct TestFolder(PathBuf);
+
+impl TestFolder {
+    fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("shaletrail-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        TestFolder(folder)
+    }
+
+    fn open(&self) -> OpenedJournal {
+        let log = Logger::root(Discard, o!());
+        open_journal(&self.0, &settings(), &log).expect("the folder can be used")
+    }
+
+    /// Damages a record in each of the journal's files.
+    fn corrupt(&self) {
+        for entry in std::fs::read_dir(&self.0).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            let mut bytes = std::fs::read(&path).expect("a file");
+            if let Some(end) = bytes.iter().rposition(|byte| *byte != 0) {
+                bytes[end / 2..end / 2 + 8].fill(0x5a);
+                std::fs::write(&path, bytes).expect("a file");
+            }
+        }
+    }
+}
+
+impl Drop for TestFolder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn settings() -> Settings {
+    "nodeName=core\nip=10.0.0.1\nzone=a\nephemeralPorts=7660,7675\nseedNodes=10.0.0.1:8146\nbootstrap=true\n\
+     heartbeatMs=1200\nlimits.diskMb=24\n"
+        .parse()
+        .expect("the settings are valid")
+}
+
+#[test]
+fn erasure_of_corrupt_journal_is_remembered() {
+    // given
+    let folder = TestFolder::new("erased-journal");
+    let mut opened = folder.open();
+    assert!(!opened.was_erased);
+    for record in 0..40 {
+        opened.journal.append(0, vec![record; 100]).expect("it fits");
+        opened.journal.sync().expect("the disk works");
+    }
+    drop(opened);
+
+    // when
+    folder.corrupt();
+    let opened = folder.open();
+
+    // then
+    assert!(opened.stored.is_empty() && opened.was_erased);
+    drop(opened);
+    assert!(folder.open().was_erased, "also at the next start, with nothing stored yet");
+}
--- a/coordinator/tests/driver_log.rs
+++ b/coordinator/tests/driver_log.rs
@@ -58,6 +58,10 @@
         ),
         (StateChange::QuorumContactChanged(false), "WARN quorum contact changed has_contact=false"),
         (StateChange::UnreadableRecords { shard: 1 }, "WARN records of shard are unreadable shard=1"),
+        (
+            StateChange::UnreadableSnapshot { shard: 1 },
+            "WARN snapshot of shard is unreadable, shard is halted until the next start shard=1",
+        ),
     ];
     for (change, line) in lines {
         assert_eq!(line_of(&change), line);
--- a/coordinator/tests/single_coordinator.rs
+++ b/coordinator/tests/single_coordinator.rs
@@ -3,11 +3,14 @@
 mod common;
 
 use common::single::{SingleCoordinator, ELECTION};
-use common::{configuration, is_done, stored};
-use shaletrail_consensus::{Record, Snapshot};
-use shaletrail_coordinator::interface::{Event, StateChange};
+use common::{configuration, is_done, node, nodes, stored};
+use shaletrail_consensus::{LogPosition, Message, Record, RoundStamp, Snapshot, VoterSet};
+use shaletrail_coordinator::core::shards::CONFIGURATION;
+use shaletrail_coordinator::interface::{Action, Event, StateChange};
 use shaletrail_protocol::external::ServerState;
-use shaletrail_protocol::internal::{DirectoryCursor, OperatorCall, OperatorResponse, PollRequest, Presence};
+use shaletrail_protocol::internal::{
+    CoordinatorMessage, DirectoryCursor, OperatorCall, OperatorResponse, PollRequest, Presence,
+};
 use shaletrail_storage::StoredRecord;
 
 #[test]
@@ -281,3 +284,66 @@
     assert!(!again.has_logged(|change| matches!(change, StateChange::BecameLeader { shard: 0, .. })));
     assert!(again.has_logged(|change| matches!(change, StateChange::BecameLeader { shard: 1, .. })));
 }
+
+/// A message of a peer about a shard.
+fn shard_message(from: u8, shard: u32, message: &Message) -> Event {
+    let body = bitcode::encode(message);
+    Event::Message { from: node(from), message: CoordinatorMessage::Shard { shard, body } }
+}
+
+/// What the coordinator has sent about a shard.
+fn sent_in_shard(coordinator: &SingleCoordinator, shard: u32) -> Vec<Message> {
+    let sent = coordinator.actions.iter().filter_map(|action| match action {
+        Action::Send { message: CoordinatorMessage::Shard { shard: of, body }, .. } if *of == shard => {
+            Some(bitcode::decode(body).expect("a message"))
+        }
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn shard_with_unreadable_snapshot_takes_no_part() {
+    for shard in [CONFIGURATION, 1] {
+        // given
+        let mut coordinator = SingleCoordinator::new(3);
+        coordinator.run(100);
+        coordinator.actions.clear();
+        let position = LogPosition { term: 2, index: 50 };
+        let voters = VoterSet::new(&nodes(&[1, 2, 3]));
+        let snapshot = Snapshot { position, voters, state: [255; 9].as_slice().into() };
+        // when
+        for round in 1..=2 {
+            let stamp = RoundStamp { round, sent_at: 1 };
+            let install = Message::InstallSnapshot { term: 2, snapshot: snapshot.clone(), stamp };
+            coordinator.handle(shard_message(2, shard, &install));
+            coordinator.run(100);
+        }
+        let last = LogPosition { term: 2, index: 60 };
+        let vote = Message::VoteRequest { term: 3, last, leadership_transfer: true };
+        coordinator.handle(shard_message(3, shard, &vote));
+        coordinator.run(ELECTION);
+        // then: nothing of it is acknowledged, and nobody gets a vote
+        let sent = sent_in_shard(&coordinator, shard);
+        let is_promise = |message: &Message| {
+            matches!(
+                message,
+                Message::AppendResponse { .. }
+                    | Message::VoteResponse { granted: true, .. }
+                    | Message::VoteRequest { .. }
+            )
+        };
+        assert!(!sent.iter().any(is_promise), "{sent:?}");
+        let halted = StateChange::UnreadableSnapshot { shard };
+        let is_halted =
+            |action: &&Action| matches!(action, Action::LogStateChange(change) if *change == halted);
+        assert_eq!(coordinator.actions.iter().filter(is_halted).count(), 1);
+        // and after a restart it is a recovering voter
+        let hard_states = coordinator.checkpoint().into_iter().filter(|(stream, _)| *stream == shard);
+        let recovering = hard_states.filter_map(|(_, bytes)| match Record::decode(&bytes) {
+            Ok(Record::HardState(hard_state)) => Some(hard_state.recovering),
+            _ => None,
+        });
+        assert_eq!(recovering.collect::<Vec<_>>(), [true]);
+    }
+}
--- a/simulation/src/coordinator.rs
+++ b/simulation/src/coordinator.rs
@@ -11,7 +11,7 @@
 use shaletrail_protocol::{Incarnation, Millis, NodeId, ServerId};
 use shaletrail_storage::StorageError;
 
-use crate::disk::{DiskReport, JournalWriter, MachineDisk};
+use crate::disk::{DiskReport, JournalWriter, MachineDisk, OpenedDisk};
 use crate::fixtures::server_node;
 use crate::message::{decode, Call, CallNumber, Message, Response};
 use crate::world::{Timer, World};
@@ -73,9 +73,12 @@
     /// # Errors
     /// The journal can't be opened at present; a later attempt may succeed.
     pub fn start(settings: &Settings, world: &mut World, disk: &MachineDisk) -> Result<Self, StorageError> {
-        let (writer, stored) = disk.open()?;
+        let OpenedDisk { writer, stored, was_erased } = disk.open()?;
         let incarnation = Incarnation(world.random_range(1..=u64::MAX));
-        let options = CoordinatorOptions::from_settings(settings, incarnation);
+        let options = CoordinatorOptions {
+            lost_state: was_erased,
+            ..CoordinatorOptions::from_settings(settings, incarnation)
+        };
         let wants_checkpoint = writer.wants_checkpoint();
         let mut coordinator = CoordinatorProcess {
             node: settings.node(),
--- a/simulation/src/disk.rs
+++ b/simulation/src/disk.rs
@@ -49,7 +49,7 @@
     }
 
     /// Opens the journal; a corrupt one is erased, as the driver does.
-    pub fn open(&self) -> Result<(JournalWriter, Vec<StoredRecord>), StorageError> {
+    pub fn open(&self) -> Result<OpenedDisk, StorageError> {
         let options = options();
         let opened = match Journal::open(self.memory.clone(), &options) {
             Err(StorageError::Corrupt { .. }) => {
@@ -58,11 +58,21 @@
             }
             other => other,
         };
-        let OpenedJournal { journal, stored, .. } = opened?;
-        Ok((JournalWriter::new(journal), stored))
+        let OpenedJournal { journal, stored, erased, .. } = opened?;
+        Ok(OpenedDisk { writer: JournalWriter::new(journal), stored, was_erased: erased })
     }
 }
 
+/// A machine's journal as a process finds it at its start.
+pub struct OpenedDisk {
+    /// Writes the journal from now on.
+    pub writer: JournalWriter,
+    /// The journal's records, oldest first.
+    pub stored: Vec<StoredRecord>,
+    /// Whether a journal was ever erased there.
+    pub was_erased: bool,
+}
+
 /// Small files, so that checkpoints come often.
 fn options() -> Options {
     Options { file_bytes: 64 << 10, initial_files: 6, max_files: 24, max_record_bytes: 512 << 10 }
--- a/storage/src/erase.rs
+++ b/storage/src/erase.rs
@@ -6,6 +6,8 @@
 
 /// Exists while files are being removed: the rest of them must not be taken for a journal.
 const MARKER_FILE: &str = "erasing";
+/// Exists for good once a journal was erased: a directory without records is not one that never had any.
+const ERASED_FILE: &str = "erased";
 
 /// Removes all files of a journal that was found to be corrupt: the next one that is opened in the directory is fresh.
 /// If this is interrupted, the next [`Journal::open`](crate::Journal::open) completes it.
@@ -15,16 +17,26 @@
 pub fn erase<D: Disk>(disk: &mut D) -> Result<(), StorageError> {
     disk_io::create(disk, MARKER_FILE, 0)?;
     disk_io::sync(disk, MARKER_FILE)?;
-    // The marker must be durable before the first file goes: half a ring could look like an older journal.
+    disk_io::create(disk, ERASED_FILE, 0)?;
+    disk_io::sync(disk, ERASED_FILE)?;
+    // Both must be durable before the first file goes: half a ring could look like an older journal, and none at all like
+    // a directory that never had one.
     disk_io::sync_folder(disk)?;
     remove_files(disk)
 }
 
+/// Whether a journal was ever erased in the directory.
+pub(crate) fn was_erased<D: Disk>(disk: &mut D) -> Result<bool, StorageError> {
+    Ok(disk_io::list(disk)?.iter().any(|name| name == ERASED_FILE))
+}
+
 /// Completes an erasure that was interrupted, if there is one.
 pub(crate) fn complete_interrupted<D: Disk>(disk: &mut D) -> Result<(), StorageError> {
     let names = disk_io::list(disk)?;
     if names.iter().any(|name| name == MARKER_FILE) {
-        // The marker may exist without having been synced.
+        // The marker may exist without having been synced, and without the other one.
+        disk_io::create(disk, ERASED_FILE, 0)?;
+        disk_io::sync(disk, ERASED_FILE)?;
         disk_io::sync_folder(disk)?;
         remove_files(disk)?;
     }
--- a/storage/src/journal.rs
+++ b/storage/src/journal.rs
@@ -21,6 +21,8 @@
     /// there has lost it. Stays true across restarts until the first record is durable, and is never true again unless
     /// the directory is wiped or erased.
     pub fresh: bool,
+    /// Whether a journal was ever erased in this directory: what is fresh has lost its state then. Stays true for good.
+    pub erased: bool,
     /// Whether ring files existed. A fresh journal with files was interrupted during its first start, or nothing has
     /// been synced in it yet.
     pub had_files: bool,
@@ -46,6 +48,7 @@
     pub fn open(mut disk: D, options: &Options) -> Result<OpenedJournal<D>, StorageError> {
         options.validate()?;
         erase::complete_interrupted(&mut disk)?;
+        let erased = erase::was_erased(&mut disk)?;
         let Recovery { stored, durable_sequence, ring } = recover(&mut disk, options.max_files)?;
         let had_files = !ring.files.is_empty();
         // The process before may have crashed with names and records unsynced. They count as durable from here on, so
@@ -64,7 +67,7 @@
         }
         let max_record_bytes = options.max_record_bytes;
         let journal = Journal { writer, max_record_bytes, pending: VecDeque::new(), durable_sequence };
-        Ok(OpenedJournal { journal, stored, fresh, had_files })
+        Ok(OpenedJournal { journal, stored, fresh, erased, had_files })
     }
 
     /// Appends a record. It is durable after the next [`Journal::sync`] that succeeds.
--- a/storage/tests/erase.rs
+++ b/storage/tests/erase.rs
@@ -51,6 +51,42 @@
     }
 }
 
+#[test]
+fn erasure_is_remembered_whatever_interrupts_it() {
+    for seed in 0..320 {
+        // given
+        let step = seed % 20;
+        let mut disk = MemoryDisk::new(seed);
+        let mut journal = open(&disk).journal;
+        append_synced(&mut journal, &["one"]);
+        drop(journal);
+        // when
+        disk.lose_power_after(step);
+        let _ = erase(&mut disk);
+        disk.power_cycle();
+        disk.lose_power_after(seed % 9);
+        let _ = Journal::open(disk.clone(), &small_options());
+        disk.power_cycle();
+        // then: whoever finds no records knows that there were some
+        let opened = open(&disk);
+        assert!(!opened.fresh || opened.erased, "seed {seed}");
+    }
+}
+
+#[test]
+fn directory_without_erasure_is_not_erased() {
+    // given
+    let disk = MemoryDisk::new(1);
+    let opened = open(&disk);
+    // when
+    let mut journal = opened.journal;
+    append_synced(&mut journal, &["one"]);
+    drop(journal);
+    // then
+    assert!(opened.fresh && !opened.erased);
+    assert!(!open(&disk).erased);
+}
+
 #[test]
 fn erased_records_do_not_come_back() {
     for seed in 0..60 {
--- a/storage/tests/stored_format.rs
+++ b/storage/tests/stored_format.rs
@@ -101,7 +101,7 @@
     read.create_file(EMPTY_FILE, &[], &[]);
 
     // then
-    let OpenedJournal { mut journal, stored: found, fresh, had_files } = read.open();
+    let OpenedJournal { mut journal, stored: found, fresh, had_files, .. } = read.open();
     assert_eq!((found, fresh, had_files), (live_records().to_vec(), false, true));
     journal.append(5, b"later".to_vec()).expect("the record is short");
     journal.sync().expect("the disk has no faults");
