--- a/cluster/src/directory.rs
+++ b/cluster/src/directory.rs
@@ -4,13 +4,14 @@
 //! for those that do not acknowledge it (`hinted_handoff`); unchanged servers are only named in digests
 //! (`anti_entropy`). There is no leader: records merge alike everywhere, as draining and removed are final for an
 //! id and otherwise the higher sequence wins (`server_table`). A heartbeat with `draining` and a deregistration
-//! are answered once a majority of the voters knows of them (`majority`).
+//! are answered once a majority of the voters knows of them (`majority`) and has them on disk (`durability`).
 //!
 //! Time-outs are not replicated (`expiry`): each coordinator concludes them by itself, and none while it has
 //! recently started, lacks contact with a quorum, or has stalled (`quorum_contact`).
 
 mod anti_entropy;
 mod change_log;
+mod durability;
 mod expiry;
 mod heartbeats;
 mod hint_queue;
@@ -28,16 +29,18 @@
 use shaletrail_protocol::internal::{DirectoryCursor, ServerRecord};
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
 
+pub use durability::UnsyncedRecords;
 pub use heartbeats::HeartbeatOutcome;
 pub use messages::{DirectoryMessage, ServerDigest};
 pub use options::{
     Options, MAX_BATCHES_IN_FLIGHT, MAX_BATCH_RECORDS, MAX_DIGEST_SERVERS, MAX_PENDING_CALLS,
-    MAX_RETRY_RECORDS,
+    MAX_RETRY_RECORDS, MAX_SERVERS,
 };
 pub use pending_calls::{CallOutcome, CallToken};
 pub use server_entry::ServerKey;
 
 use change_log::ChangeLog;
+use durability::Durability;
 use hint_queue::HintQueue;
 use pending_calls::PendingCalls;
 use quorum_contact::QuorumContact;
@@ -71,6 +74,7 @@
     hint_queues: BTreeMap<NodeId, HintQueue>,
     voters: BTreeSet<NodeId>,
     pending_calls: PendingCalls,
+    durability: Durability,
     quorum_contact: QuorumContact,
     started_at: Millis,
     last_version: u64,
@@ -93,6 +97,7 @@
             hint_queues: BTreeMap::new(),
             voters: BTreeSet::new(),
             pending_calls: PendingCalls::default(),
+            durability: Durability::default(),
             quorum_contact: QuorumContact::new(now),
             started_at: now,
             last_version: 0,
@@ -209,7 +214,9 @@
         self.table.claim_address_if_free(key);
         while self.table.len() > self.options.max_servers {
             let Some(evicted) = self.table.eviction_candidate(key) else { return };
-            self.table.remove(evicted);
+            self.forget(evicted);
+            // Edges that follow by cursor never heard that it is gone: they get the whole directory.
+            self.change_log.forget_changes();
         }
     }
 
@@ -227,7 +234,16 @@
             entry.version = self.last_version;
             if outcome == MergeOutcome::StageAdvanced {
                 entry.stage_version = self.last_version;
+                if self.options.waits_for_disk {
+                    self.durability.record_stage(key);
+                }
             }
         }
     }
+
+    /// Drops a server from the directory.
+    fn forget(&mut self, key: ServerKey) {
+        self.table.remove(key);
+        self.durability.forget(key);
+    }
 }
--- a/cluster/src/directory/anti_entropy.rs
+++ b/cluster/src/directory/anti_entropy.rs
@@ -49,7 +49,8 @@
                 self.admit(digest.key);
             }
         }
-        self.reconcile_stage(from, digest.key, reported);
+        self.push_if_behind(from, digest.key, reported);
+        self.record_reported_stage(from, digest.key, reported);
         has_later_stage || has_newer_record
     }
 
@@ -65,7 +66,9 @@
             self.next_full_digest = now + self.options.full_digest_interval_ms;
             self.full_digest(now)
         } else {
-            let entries = refreshed.into_iter().filter_map(|key| Some((key, self.table.get(key)?)));
+            // A digest tells peers which stages are safe here.
+            let synced = refreshed.into_iter().filter(|key| self.durability.is_synced(*key));
+            let entries = synced.filter_map(|key| Some((key, self.table.get(key)?)));
             entries.map(|(key, entry)| ServerDigest::of(key, entry, now)).take(MAX_DIGEST_SERVERS).collect()
         };
         if servers.is_empty() {
@@ -79,7 +82,9 @@
 
     /// All servers with recent contact, and recent tombstones.
     fn full_digest(&self, now: Millis) -> Vec<ServerDigest> {
-        let included = self.table.iter().filter(|(_, entry)| self.belongs_in_full_digest(now, entry));
+        let included = self.table.iter().filter(|(key, entry)| {
+            self.belongs_in_full_digest(now, entry) && self.durability.is_synced(*key)
+        });
         included.map(|(key, entry)| ServerDigest::of(key, entry, now)).take(MAX_DIGEST_SERVERS).collect()
     }
 
--- a/cluster/src/directory/change_log.rs
+++ b/cluster/src/directory/change_log.rs
@@ -39,6 +39,12 @@
         self.last_number
     }
 
+    /// Drops all changes: every cursor but the present one is answered with a full snapshot.
+    pub(super) fn forget_changes(&mut self) {
+        self.last_number += 1;
+        self.changes.clear();
+    }
+
     /// The position after the newest change.
     pub(super) fn cursor(&self) -> DirectoryCursor {
         DirectoryCursor { epoch: self.epoch, revision: self.last_number }
--- a/cluster/src/directory/expiry.rs
+++ b/cluster/src/directory/expiry.rs
@@ -78,6 +78,6 @@
                 self.advance_version(key, outcome);
             }
         }
-        forgotten.into_iter().for_each(|key| self.table.remove(key));
+        forgotten.into_iter().for_each(|key| self.forget(key));
     }
 }
--- a/cluster/src/directory/heartbeats.rs
+++ b/cluster/src/directory/heartbeats.rs
@@ -64,6 +64,8 @@
                 self.publish_change(key);
                 self.advance_version(key, outcome);
             }
+            // It comes from the disk.
+            self.durability.forget(key);
             self.admit(key);
         }
     }
--- a/cluster/src/directory/hinted_handoff.rs
+++ b/cluster/src/directory/hinted_handoff.rs
@@ -10,15 +10,23 @@
 use super::Directory;
 
 impl Directory {
-    /// Merges a batch of another coordinator; returns the number to acknowledge to it.
-    pub fn merge(&mut self, now: Millis, from: NodeId, batch: u64, records: Vec<ServerRecord>) -> u64 {
+    /// Merges a batch of another coordinator; returns the number to acknowledge to it, or `None` where the batch names stages
+    /// that have to be on disk first: then [`Directory::take_acknowledgements`] gives the number.
+    pub fn merge(
+        &mut self,
+        now: Millis,
+        from: NodeId,
+        batch: u64,
+        records: Vec<ServerRecord>,
+    ) -> Option<u64> {
         self.record_call(now);
         self.record_contact(from);
+        let servers: Vec<ServerKey> = records.iter().map(|record| ServerKey::of(&record.id)).collect();
         for record in records {
             self.merge_from_peer(now, from, record);
         }
         self.flush_hints(now);
-        batch
+        self.acknowledge_once_synced(from, batch, servers.into_iter())
     }
 
     /// Handles the acknowledgement of one batch by another coordinator. It covers that batch only, not earlier ones.
@@ -50,7 +58,11 @@
         if outcome != MergeOutcome::Stale {
             self.admit(key);
         }
-        self.reconcile_stage(from, key, reported);
+        self.push_if_behind(from, key, reported);
+        if !self.options.waits_for_disk {
+            // Otherwise a record on its way says nothing of its sender's disk; acknowledgements and digests do.
+            self.record_reported_stage(from, key, reported);
+        }
     }
 
     /// Queues the whole directory for a peer that knows nothing.
--- a/cluster/src/directory/majority.rs
+++ b/cluster/src/directory/majority.rs
@@ -50,18 +50,21 @@
         self.table.iter_mut().for_each(|(_, entry)| entry.acknowledged_by.retain(|node| *node != peer));
     }
 
-    /// Compares the stage that a peer reports with the one known here: a peer at the same stage has acknowledged it,
-    /// one at an earlier stage is sent the record.
-    pub(super) fn reconcile_stage(&mut self, peer: NodeId, key: ServerKey, reported: LifecycleStage) {
-        let Some(entry) = self.table.get(key) else { return };
-        if reported < entry.stage() {
+    /// Sends a peer the record where the stage that it reports is an earlier one.
+    pub(super) fn push_if_behind(&mut self, peer: NodeId, key: ServerKey, reported: LifecycleStage) {
+        if self.table.get(key).is_some_and(|entry| reported < entry.stage()) {
             self.push_hint(peer, key);
-        } else if reported == entry.stage() {
+        }
+    }
+
+    /// A peer that reports the stage which is known here has acknowledged it.
+    pub(super) fn record_reported_stage(&mut self, peer: NodeId, key: ServerKey, reported: LifecycleStage) {
+        if self.table.get(key).is_some_and(|entry| reported == entry.stage()) {
             self.record_acknowledgement(peer, key);
         }
     }
 
-    fn complete_calls(&mut self, key: ServerKey) {
+    pub(super) fn complete_calls(&mut self, key: ServerKey) {
         if self.pending_calls.contains(key) && self.has_majority(key) {
             if let Some(entry) = self.table.get(key) {
                 self.pending_calls.acknowledge(key, entry.stage());
@@ -73,7 +76,11 @@
         let Some(entry) = self.table.get(key).filter(|entry| entry.stage() != LifecycleStage::Active) else {
             return false;
         };
-        let knows = |voter: &&NodeId| **voter == self.node || entry.acknowledged_by.contains(voter);
+        let is_known_here = self.durability.is_synced(key);
+        let knows = |voter: &&NodeId| match **voter == self.node {
+            true => is_known_here,
+            false => entry.acknowledged_by.contains(voter),
+        };
         self.voters.iter().filter(knows).count() * 2 > self.voters.len()
     }
 }
--- a/cluster/src/directory/options.rs
+++ b/cluster/src/directory/options.rs
@@ -31,6 +31,9 @@
     pub max_servers: usize,
     /// Changes in the log from which edges catch up.
     pub max_changes: usize,
+    /// Whether the stage of a server that leaves must be durable before it is acknowledged; see
+    /// [`Directory::take_unsynced`](super::Directory::take_unsynced).
+    pub waits_for_disk: bool,
 }
 
 impl Options {
@@ -48,12 +51,15 @@
             max_backoff_ms: 1000,
             majority_timeout_ms: 900,
             stall_ms: heartbeat_ms.max(500),
-            max_servers: 4096,
+            max_servers: MAX_SERVERS,
             max_changes: 2048,
+            waits_for_disk: false,
         }
     }
 }
 
+/// Servers in the table: more than the largest fleet that is planned for, so that none of them is ever evicted.
+pub const MAX_SERVERS: usize = 16_384;
 /// Records in one batch to a peer that responds.
 pub const MAX_BATCH_RECORDS: usize = 64;
 /// Records in one batch to a peer that does not respond.
@@ -61,6 +67,6 @@
 /// Batches to one peer that are not acknowledged yet.
 pub const MAX_BATCHES_IN_FLIGHT: usize = 4;
 /// Servers in one digest or request.
-pub const MAX_DIGEST_SERVERS: usize = 4096;
+pub const MAX_DIGEST_SERVERS: usize = MAX_SERVERS;
 /// Calls that wait for a majority; further ones fail at once.
 pub const MAX_PENDING_CALLS: usize = 1024;
--- a/cluster/src/membership/member_table.rs
+++ b/cluster/src/membership/member_table.rs
@@ -197,7 +197,9 @@
     fn evict_oldest_dead(&mut self) -> bool {
         let dead = self.members.iter().filter(|(_, member)| member.record.state == MemberState::Dead);
         let oldest = dead.min_by_key(|(_, member)| member.state_since).map(|(node, _)| *node);
-        oldest.is_some_and(|node| self.members.remove(&node).is_some())
+        let Some(oldest) = oldest else { return false };
+        self.remove(oldest);
+        true
     }
 
     /// Merges a record of the known incarnation: the higher refutation wins, then the worse state.
--- a/coordinator/src/core/demand/edges.rs
+++ b/coordinator/src/core/demand/edges.rs
@@ -62,12 +62,18 @@
 
     /// Drops the edges whose time is over.
     pub fn tick(&mut self, now: Millis) {
-        let recent_ttl = self.retry_window.max(EDGE_TTL);
+        let recent_ttl = self.share_retention();
         self.local.retain(|_, last_contact| *last_contact + EDGE_TTL > now);
         self.remote.retain(|_, last_contact| *last_contact + EDGE_TTL > now);
         self.recent.retain(|_, last_contact| *last_contact + recent_ttl > now);
     }
 
+    /// How long after its last poll an edge counts among those that share the retry budget. Its share ends one window after
+    /// the poll, see `RetryBudget` in `routing`, and what it has spent by then counts for one window more.
+    fn share_retention(&self) -> Millis {
+        (2 * self.retry_window).max(EDGE_TTL)
+    }
+
     /// The edges that poll this coordinator, in order.
     pub fn local(&self) -> Vec<NodeId> {
         self.local.keys().copied().collect()
@@ -79,8 +85,7 @@
         all.into_iter().take(MAX_EDGES).collect()
     }
 
-    /// Number of edges among which the retry budget is divided: all that were active within its window, as they may have
-    /// spent their shares. 0, for unknown, until this coordinator has known the others' edges for the whole window.
+    /// Number of edges among which the retry budget is divided: all that may have spent their shares within its window. 0, for unknown, until this coordinator has known the others' edges for the whole window.
     pub fn retry_budget_shares(&self, now: Millis) -> u32 {
         if now < self.complete_since + self.retry_window {
             return 0;
--- a/coordinator/src/core/disk.rs
+++ b/coordinator/src/core/disk.rs
@@ -39,7 +39,7 @@
             return;
         }
         let mut live = self.shards.live_records();
-        live.extend(self.directory_snapshots.live_record());
+        live.extend(self.directory_snapshots.live_records());
         actions.push(Action::Checkpoint { live });
     }
 }
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -16,9 +16,10 @@
 mod server_calls;
 mod shard_events;
 pub mod shards;
+pub mod shutdown;
 pub mod voters;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use shaletrail_cluster::directory::{self, CallToken, Directory};
 use shaletrail_cluster::{membership, Membership};
@@ -33,6 +34,7 @@
 use orders::OrderLeases;
 use peer_versions::PeerVersions;
 use polls::PendingPolls;
+use server_calls::LeavingSync;
 use shards::Shards;
 
 /// A coordinator's decisions.
@@ -45,6 +47,8 @@
     operator_calls: PendingCalls,
     /// Calls of servers that wait until a majority has what they report.
     server_calls: HashMap<CallToken, CallId>,
+    /// In the order of their tickets.
+    leaving_syncs: VecDeque<LeavingSync>,
     polls: PendingPolls,
     edges: Edges,
     demand: AggregatedDemand,
@@ -74,7 +78,10 @@
         let membership =
             Membership::new(membership_options, options.node, options.incarnation, &options.seeds, now);
         let heartbeat_interval = options.heartbeat_interval.as_millis() as Millis;
-        let directory_options = directory::Options::for_heartbeat(heartbeat_interval);
+        let directory_options = directory::Options {
+            waits_for_disk: true,
+            ..directory::Options::for_heartbeat(heartbeat_interval)
+        };
         let mut directory = Directory::new(directory_options, options.node, options.incarnation, now);
         directory.restore(now, known_servers);
         let order_leases = OrderLeases::new(&options);
@@ -85,6 +92,7 @@
             shards,
             operator_calls: PendingCalls::for_incarnation(options.incarnation),
             server_calls: HashMap::new(),
+            leaving_syncs: VecDeque::new(),
             polls: PendingPolls::default(),
             edges: Edges::new(options.retry_window.as_millis() as Millis, now),
             demand: AggregatedDemand::default(),
@@ -110,6 +118,7 @@
             Event::Message { from, message } => self.receive(now, from, message, actions),
             Event::Persisted { ticket, wants_checkpoint } => {
                 self.shards.on_persisted(now, ticket);
+                self.on_leaving_servers_synced(now, ticket);
                 self.checkpoint_if(wants_checkpoint, actions);
             }
             Event::DiskDegraded { wants_checkpoint } => {
@@ -207,6 +216,8 @@
         self.advance_operator_calls(now, actions);
         self.process_shards(now, actions);
         self.send_from_parts(actions);
+        self.persist_leaving_servers(actions);
+        self.send_directory_acknowledgements(actions);
         self.answer_server_calls(actions);
         self.broadcast_demand(now, actions);
         self.plan_orders(now, actions);
--- a/coordinator/src/core/orders.rs
+++ b/coordinator/src/core/orders.rs
@@ -103,6 +103,12 @@
         self.leases.epoch(shard).map(|epoch| epoch.wait_until)
     }
 
+    /// Until when orders of earlier epochs may arrive at the servers of a shard's services; `None` unless this node has
+    /// acquired the shard's lease after another epoch.
+    pub fn previous_orders_until(&self, shard: u32) -> Option<Millis> {
+        self.leases.epoch(shard)?.previous_lease_until
+    }
+
     /// A version of the configuration has been applied.
     pub fn on_configuration(&mut self, view: &View) {
         self.planners.on_configuration(view);
--- a/coordinator/src/core/orders/lease.rs
+++ b/coordinator/src/core/orders/lease.rs
@@ -19,7 +19,7 @@
 pub(super) struct OwnEpoch {
     /// Until when no order may be sent, so that a lease lies between the previous holder's orders and this node's.
     pub wait_until: Millis,
-    /// Until when orders of an earlier epoch may have been sent, by this node or another; `None` if there was none.
+    /// Until when orders of an earlier epoch may arrive at servers, by this node or another; `None` if there was none.
     pub previous_lease_until: Option<Millis>,
 }
 
@@ -91,8 +91,12 @@
         let (wait_until, previous_lease_until) = match epoch.previous_holder {
             None => (now, None),
             Some(_) if !epoch.must_wait => (now, Some(now)),
-            // The lease of the previous holder was over when this node was elected.
-            Some(_) => (elected_at + self.order_lease + HANDOVER_MARGIN, Some(elected_at)),
+            // The lease of the previous holder was over when this node was elected; its last orders may arrive, and their
+            // loads begin, for as long as the margin after that.
+            Some(_) => {
+                let last_arrival = elected_at + HANDOVER_MARGIN;
+                (last_arrival + self.order_lease, Some(last_arrival))
+            }
         };
         let own = OwnEpoch { wait_until, previous_lease_until };
         leadership.is_wait_recorded = !epoch.must_wait;
--- a/coordinator/src/core/server_calls.rs
+++ b/coordinator/src/core/server_calls.rs
@@ -5,9 +5,17 @@
 use shaletrail_protocol::internal::CoordinatorMessage;
 use shaletrail_protocol::{Millis, NodeId, ServerId};
 
-use super::Coordinator;
+use super::{directory_snapshot, Coordinator};
 use crate::interface::{Action, CallId};
 
+/// Records of servers that leave, on their way to the disk.
+pub(super) struct LeavingSync {
+    /// The ticket of the [`Action::Persist`] that holds them.
+    ticket: u64,
+    /// The ticket by which the directory knows them.
+    directory_ticket: u64,
+}
+
 impl Coordinator {
     /// A server has sent a heartbeat. One that changes how the server may be used waits until a majority knows it.
     pub(super) fn on_heartbeat(
@@ -35,10 +43,35 @@
 
     /// The call is answered when the directory completes it or gives it up; the directory also bounds how many wait.
     fn wait_for_majority(&mut self, call: CallId, token: CallToken) {
-        self.directory_snapshots.expedite();
         self.server_calls.insert(token, call);
     }
 
+    /// Writes the servers that have begun to leave to the journal. Neither they nor the peers that sent their records get an
+    /// acknowledgement before that is synced: all coordinators may be killed in the next moment, and a directory that says
+    /// `ready` on every disk would send requests to servers that were told that none will come.
+    pub(super) fn persist_leaving_servers(&mut self, actions: &mut Vec<Action>) {
+        if let Some(unsynced) = self.directory.take_unsynced() {
+            let record = self.directory_snapshots.add_leaving(&unsynced.records);
+            let ticket =
+                self.shards.persist_beside_shards(directory_snapshot::LEAVING_STREAM, record, actions);
+            self.leaving_syncs.push_back(LeavingSync { ticket, directory_ticket: unsynced.ticket });
+        }
+    }
+
+    /// All records up to a ticket are on disk.
+    pub(super) fn on_leaving_servers_synced(&mut self, now: Millis, ticket: u64) {
+        while let Some(synced) = self.leaving_syncs.pop_front_if(|sync| sync.ticket <= ticket) {
+            self.directory.on_synced(now, synced.directory_ticket);
+        }
+    }
+
+    /// Acknowledges the batches of peers that have become durable.
+    pub(super) fn send_directory_acknowledgements(&mut self, actions: &mut Vec<Action>) {
+        for (to, batch) in self.directory.take_acknowledgements() {
+            actions.push(Action::Send { to, message: CoordinatorMessage::DirectoryAck { batch } });
+        }
+    }
+
     /// Answers the calls that the directory has completed or given up.
     pub(super) fn answer_server_calls(&mut self, actions: &mut Vec<Action>) {
         for outcome in self.directory.take_completed_calls() {
@@ -62,8 +95,10 @@
     ) {
         match bitcode::decode(body) {
             Ok(DirectoryMessage::Batch { batch, records }) => {
-                let batch = self.directory.merge(now, from, batch, records);
-                actions.push(Action::Send { to: from, message: CoordinatorMessage::DirectoryAck { batch } });
+                if let Some(batch) = self.directory.merge(now, from, batch, records) {
+                    let message = CoordinatorMessage::DirectoryAck { batch };
+                    actions.push(Action::Send { to: from, message });
+                }
             }
             Ok(DirectoryMessage::Digest { servers }) => self.directory.receive_digest(now, from, servers),
             Ok(DirectoryMessage::Request { servers }) => self.directory.receive_request(now, from, servers),
--- a/coordinator/src/core/shards.rs
+++ b/coordinator/src/core/shards.rs
@@ -132,10 +132,11 @@
         }
     }
 
-    /// Writes a record to a stream that is no shard's. Nothing waits for it to be synced.
-    pub fn persist_beside_shards(&mut self, stream: u32, bytes: Vec<u8>, actions: &mut Vec<Action>) {
+    /// Writes a record to a stream that is no shard's; its ticket.
+    pub fn persist_beside_shards(&mut self, stream: u32, bytes: Vec<u8>, actions: &mut Vec<Action>) -> u64 {
         self.last_ticket += 1;
         actions.push(Action::Persist { ticket: self.last_ticket, records: vec![(stream, bytes)] });
+        self.last_ticket
     }
 
     /// All records of the shards that a checkpoint of the journal must keep.
--- a/coordinator/src/driver/control_api.rs
+++ b/coordinator/src/driver/control_api.rs
@@ -24,7 +24,7 @@
 /// How long a caller may take to send the head of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(20);
 /// The longest body of a change of the configuration that is accepted, in bytes.
-const MAX_CONFIGURATION_BYTES: usize = 7 << 20;
+const MAX_CHANGE_BODY_BYTES: usize = 7 << 20;
 /// After how many seconds a caller may retry a call whose result is unknown.
 const RETRY_AFTER_SECONDS: &str = "0.2";
 
@@ -92,7 +92,7 @@
     let Some(base_version) = base_version(&request) else {
         return plain_text(StatusCode::BAD_REQUEST, "Base-Version: expected a whole number");
     };
-    let body = match Limited::new(request.into_body(), MAX_CONFIGURATION_BYTES).collect().await {
+    let body = match Limited::new(request.into_body(), MAX_CHANGE_BODY_BYTES).collect().await {
         Ok(body) => body.to_bytes().to_vec(),
         Err(error) if error.is::<LengthLimitError>() => {
             return plain_text(StatusCode::PAYLOAD_TOO_LARGE, "the configuration is too long")
--- a/coordinator/src/driver/host.rs
+++ b/coordinator/src/driver/host.rs
@@ -6,7 +6,7 @@
 
 use std::cell::RefCell;
 use std::rc::{Rc, Weak};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use shaletrail_protocol::settings::Settings;
 use shaletrail_protocol::{Millis, ServerId};
@@ -157,4 +157,9 @@
         self.handle(Event::ShutdownRequested);
         self.state.borrow_mut().calls.cancel_all();
     }
+
+    /// Whether the process may end, so long after it was told to.
+    pub fn may_end(&self, elapsed: Duration) -> bool {
+        self.state.borrow().coordinator.may_end(elapsed.as_millis() as Millis)
+    }
 }
--- a/coordinator/src/driver/internal_api.rs
+++ b/coordinator/src/driver/internal_api.rs
@@ -1,5 +1,6 @@
 //! The internal port: edges poll here, and other coordinators send their messages.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use super::edge_polls::serve_edge;
 use super::frames::{read_frame, ReadFrameError};
 use super::host::Host;
+use super::peer_sessions::{PeerSessions, SessionNumber};
 use super::sockets::with_timeout;
 use crate::interface::Event;
 
@@ -22,10 +24,12 @@
 
 /// Serves connections for as long as the process runs.
 pub async fn serve(host: Rc<Host>, listener: TcpListener, log: Logger) {
+    let sessions = Rc::new(RefCell::new(PeerSessions::default()));
     accept_connections(listener, MAX_CONNECTIONS, |stream| {
-        let (host, log) = (Rc::clone(&host), log.clone());
+        let (host, log, sessions) = (Rc::clone(&host), log.clone(), Rc::clone(&sessions));
+        let session = sessions.borrow_mut().accept();
         async move {
-            if let Err(error) = serve_connection(&host, stream).await {
+            if let Err(error) = serve_connection(&host, &sessions, session, stream).await {
                 debug!(log, "internal connection ended"; "error" => %error);
             }
         }
@@ -33,17 +37,35 @@
     .await;
 }
 
-async fn serve_connection(host: &Rc<Host>, mut stream: TcpStream) -> Result<(), ReadFrameError> {
+async fn serve_connection(
+    host: &Rc<Host>,
+    sessions: &RefCell<PeerSessions>,
+    session: SessionNumber,
+    mut stream: TcpStream,
+) -> Result<(), ReadFrameError> {
     match with_timeout(HANDSHAKE_TIMEOUT, read_frame(&mut stream)).await?? {
-        Handshake::Coordinator { node, .. } => receive_messages(host, node, stream).await,
+        Handshake::Coordinator { node, .. } => {
+            sessions.borrow_mut().open(node, session);
+            let is_current = || sessions.borrow().is_current(node, session);
+            receive_messages(host, node, stream, is_current).await
+        }
         Handshake::Edge(edge) => serve_edge(host, edge, stream).await,
     }
 }
 
-async fn receive_messages(host: &Rc<Host>, from: NodeId, stream: TcpStream) -> Result<(), ReadFrameError> {
+/// Handles a peer's messages for as long as this is its newest connection.
+async fn receive_messages(
+    host: &Rc<Host>,
+    from: NodeId,
+    stream: TcpStream,
+    is_current: impl Fn() -> bool,
+) -> Result<(), ReadFrameError> {
     let mut stream = tokio::io::BufReader::new(stream);
-    loop {
+    while is_current() {
         let message: CoordinatorMessage = read_frame(&mut stream).await?;
-        host.handle(Event::Message { from, message });
+        if is_current() {
+            host.handle(Event::Message { from, message });
+        }
     }
+    Ok(())
 }
--- a/coordinator/src/driver/journal/open.rs
+++ b/coordinator/src/driver/journal/open.rs
@@ -58,11 +58,21 @@
             Ok(opened) => return Ok(opened),
             Err(error) => error,
         };
-        std::thread::sleep(RETRY_PAUSE);
         attempts += 1;
         if attempts == MAX_OPEN_ATTEMPTS {
             return Err(error);
         }
+        std::thread::sleep(RETRY_PAUSE);
+    }
+}
+
+/// Erases a corrupt journal. One that fails is resumed by the next attempt.
+fn erase_journal(folder: &Path, log: &Logger) {
+    let erased = FolderDisk::open(folder)
+        .context(DirectorySnafu)
+        .and_then(|mut disk| erase(&mut disk).context(FilesSnafu));
+    if let Err(error) = erased {
+        warn!(log, "failed to erase corrupt journal"; "error" => %error);
     }
 }
 
@@ -76,10 +86,7 @@
         Err(error) => {
             if matches!(error, StorageError::Corrupt { .. }) {
                 error!(log, "journal is corrupt, erasing it to rejoin as a recovering voter"; "error" => %error);
-                if let Ok(mut disk) = FolderDisk::open(folder) {
-                    // An erasure that fails is resumed by the next attempt.
-                    let _ = erase(&mut disk);
-                }
+                erase_journal(folder, log);
             } else {
                 warn!(log, "journal not opened yet, retrying"; "error" => %error);
             }
--- a/coordinator/src/driver/mod.rs
+++ b/coordinator/src/driver/mod.rs
@@ -13,13 +13,14 @@
 pub mod journal;
 pub mod lease_guard;
 pub mod order_client;
+pub mod peer_sessions;
 pub mod peers;
 pub mod sockets;
 
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use shaletrail_protocol::settings::Settings;
 use shaletrail_protocol::{Incarnation, NodeId};
@@ -37,8 +38,8 @@
 
 /// Time between two [`Event::Tick`]s.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// How long responses and transfers of leadership may go on after SIGTERM, before the process ends.
-const SHUTDOWN_GRACE: Duration = Duration::from_millis(400);
+/// Time between two looks at whether a process may end that was told to.
+const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs a coordinator until SIGTERM. Needs a `LocalSet`.
 ///
@@ -69,7 +70,10 @@
     run_until_terminated(&host, terminate, hangup, &path, &log).await;
     info!(log, "shutting down");
     host.shut_down();
-    tokio::time::sleep(SHUTDOWN_GRACE).await;
+    let requested_at = Instant::now();
+    while !host.may_end(requested_at.elapsed()) {
+        tokio::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
+    }
     Ok(())
 }
 
--- a/coordinator/tests/disk_loss.rs
+++ b/coordinator/tests/disk_loss.rs
@@ -2,14 +2,19 @@
 
 mod common;
 
-use common::node;
 use common::simulated_cluster::SimulatedCluster;
+use common::{heartbeat, node};
 use shaletrail_coordinator::core::shards::CONFIGURATION;
+use shaletrail_coordinator::interface::{CallId, Event};
+use shaletrail_protocol::external::ServerState;
+use shaletrail_protocol::internal::Presence;
 use shaletrail_protocol::NodeId;
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
 /// Number of random histories of each kind, unless `SHALETRAIL_SEEDS` says otherwise.
 const HISTORIES: u64 = 4;
+/// A server that leaves.
+const SERVER: &str = "i-1";
 /// Losses in a history.
 const LOSSES: usize = 8;
 
@@ -154,3 +159,52 @@
 fn histories() -> u64 {
     std::env::var("SHALETRAIL_SEEDS").ok().and_then(|value| value.parse().ok()).unwrap_or(HISTORIES)
 }
+
+/// A server leaves, and the moment in which that is acknowledged all coordinators lose power; `hosts_lost` disks are lost.
+fn lose_all_after_departure(seed: u64, hosts_lost: usize, lost_disks: usize, leave: fn(CallId) -> Event) {
+    // given
+    let mut cluster = SimulatedCluster::bootstrapped(hosts_lost, seed);
+    let voters = cluster.running();
+    let sync_ms = 1 + cluster.random_below(60);
+    voters.iter().for_each(|node| cluster.slow_disk(*node, sync_ms));
+    let ready =
+        |call| Event::Heartbeat { call, id: SERVER.to_owned(), heartbeat: heartbeat(ServerState::Ready, 1) };
+    assert!(cluster.server_call(voters[0], ready));
+    cluster.run(3_000);
+
+    // when
+    let called = cluster.rotate_without(&voters, &[])[0];
+    assert!(cluster.server_call(called, leave), "seed {seed}: {}", cluster.describe());
+    voters.iter().for_each(|node| cluster.lose_power(*node));
+    let (wiped, _) = cluster.choose(&voters, lost_disks);
+    wiped.iter().for_each(|node| cluster.wipe(*node));
+    voters.iter().for_each(|node| cluster.start(*node));
+    cluster.run(1_000);
+
+    // then: nobody takes it to be ready
+    for node in &voters {
+        let presence = cluster.core(*node).directory().record(SERVER).map(|record| record.presence);
+        assert!(
+            matches!(presence, Some(Presence::Draining | Presence::Removed)),
+            "seed {seed}: {node} takes it to be {presence:?}"
+        );
+    }
+}
+
+fn deregister(call: CallId) -> Event {
+    Event::Deregister { call, id: SERVER.to_owned() }
+}
+
+fn drain(call: CallId) -> Event {
+    Event::Heartbeat { call, id: SERVER.to_owned(), heartbeat: heartbeat(ServerState::Draining, 2) }
+}
+
+#[test]
+fn acknowledged_departure_survives_power_loss_of_all() {
+    for seed in 1..=20 {
+        lose_all_after_departure(seed, 1, 0, deregister);
+        lose_all_after_departure(seed, 1, 1, deregister);
+        lose_all_after_departure(seed, 1, 1, drain);
+        lose_all_after_departure(seed, 2, 2, drain);
+    }
+}
--- a/coordinator/tests/driver_control_api.rs
+++ b/coordinator/tests/driver_control_api.rs
@@ -309,3 +309,34 @@
         assert!(response.config.is_some());
     });
 }
+
+#[test]
+fn later_handshake_of_a_peer_ends_its_earlier_connection() {
+    run_within(TEST_TIMEOUT, async {
+        // given: a peer that has connected anew, as after a restart
+        let coordinator = TestCoordinator::start("handshakes");
+        let connect = |incarnation| async move {
+            let node = NodeId::from(Ipv4Addr::new(127, 0, 0, 8));
+            let mut stream = TcpStream::connect(coordinator.internal).await.expect("a connection");
+            let handshake = Handshake::Coordinator { node, incarnation: Incarnation(incarnation) };
+            stream.write_all(&frame::encode(&handshake)).await.expect("the handshake is written");
+            stream
+        };
+        let mut earlier = connect(3).await;
+        tokio::time::sleep(TICK_INTERVAL).await;
+        let mut later = connect(4).await;
+        tokio::time::sleep(TICK_INTERVAL).await;
+
+        // when: a late message of the earlier connection arrives
+        let message = frame::encode(&CoordinatorMessage::DirectoryAck { batch: 1 });
+        earlier.write_all(&message).await.expect("the message is written");
+
+        // then: that connection ends, the later one stays
+        let mut answer = Vec::new();
+        let _ = earlier.read_to_end(&mut answer).await;
+        assert_eq!(answer, b"");
+        later.write_all(&message).await.expect("the message is written");
+        let read = tokio::time::timeout(4 * TICK_INTERVAL, later.read_to_end(&mut answer)).await;
+        assert!(read.is_err(), "the later connection has ended");
+    });
+}
--- a/coordinator/tests/lease_state.rs
+++ b/coordinator/tests/lease_state.rs
@@ -2,8 +2,13 @@
 
 mod common;
 
-use common::node;
+use std::time::Duration;
+
+use common::{coordinator_options, node, START};
 use shaletrail_coordinator::core::lease_state::{LeaseEpoch, LeaseHolder, LeaseState};
+use shaletrail_coordinator::core::orders::OrderLeases;
+use shaletrail_coordinator::core::shards::shard_of;
+use shaletrail_protocol::Incarnation;
 
 fn holder(number: u8, fencing_token: u64) -> LeaseHolder {
     LeaseHolder { node: node(number), fencing_token }
@@ -96,3 +101,20 @@
     state.apply(&LeaseState::wait_completed_command(holder(2, 5)));
     assert_eq!(LeaseState::restore(&state.snapshot()), Some(state));
 }
+
+#[test]
+fn former_orders_may_arrive_after_the_election() {
+    // given: another node's epoch before this one
+    let shard = shard_of("llm");
+    let options = coordinator_options(node(1), &[node(1)], false, 0, Incarnation(1));
+    let mut leases = OrderLeases::new(&options);
+    leases.on_elected(START, shard, 5);
+    let epoch = LeaseEpoch { holder: holder(1, 5), previous_holder: Some(holder(2, 4)), must_wait: true };
+    // when
+    leases.on_epoch_started(START + 20, shard, epoch, true);
+    // then: its loads count in the store's window until the last of them can have begun
+    let arrival = Duration::from_millis(600);
+    assert_eq!(leases.previous_orders_until(shard), Some(START + arrival.as_millis() as u64));
+    let lease = options.order_lease;
+    assert_eq!(leases.wait_until(shard), Some(START + (arrival + lease).as_millis() as u64));
+}
--- a/coordinator/tests/voters.rs
+++ b/coordinator/tests/voters.rs
@@ -6,6 +6,7 @@
 use common::{node, nodes};
 use shaletrail_consensus::Message;
 use shaletrail_coordinator::core::shards::CONFIGURATION;
+use shaletrail_coordinator::core::shutdown::{MAX_SHUTDOWN_TIME, SHUTDOWN_GRACE};
 use shaletrail_coordinator::interface::Event;
 use shaletrail_protocol::internal::CoordinatorMessage;
 use shaletrail_protocol::{Millis, NodeId};
@@ -228,6 +229,42 @@
     }
 }
 
+#[test]
+fn leaving_voter_waits_until_its_place_is_taken() {
+    for sync_ms in [5, 30, 100] {
+        for seed in SEEDS {
+            // given: the successor has had its time, and all disks are slow
+            let mut cluster = SimulatedCluster::bootstrapped(1, seed);
+            let members = cluster.running();
+            members.iter().for_each(|member| cluster.slow_disk(*member, sync_ms));
+            cluster.join_with_disk(node(JOINING), &members, sync_ms);
+            cluster.run(SYNC[0]);
+            cluster.commit_change();
+
+            // when: a machine shuts down, and as soon as it has, another is lost
+            let leaving = cluster.rotate_without(&members, &[])[0];
+            let elapsed = cluster.remove_as_planned(leaving);
+            let staying = cluster.rotate_without(&members, &[leaving]);
+            cluster.wipe(staying[0]);
+
+            // then
+            assert!(elapsed < MAX_SHUTDOWN_TIME, "seed {seed}, {sync_ms} ms: {elapsed}");
+            cluster.assert_available();
+        }
+    }
+}
+
+#[test]
+fn leaving_voter_without_successor_ends_at_once() {
+    // given
+    let mut cluster = SimulatedCluster::bootstrapped(1, 1);
+    let leaving = cluster.running()[0];
+    // when
+    let elapsed = cluster.remove_as_planned(leaving);
+    // then
+    assert!(elapsed <= SHUTDOWN_GRACE + 10, "{elapsed}");
+}
+
 #[test]
 fn lagging_learner_joins_under_load() {
     for seed in SEEDS {
--- a/dataplane/src/attempt.rs
+++ b/dataplane/src/attempt.rs
@@ -2,6 +2,7 @@
 //! what its head says.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use shaletrail_routing::interface::{Ending, Verdict};
 
@@ -11,7 +12,7 @@
 use crate::mailbox::SendCommand;
 use crate::progress::Progress;
 use crate::response::{classify, BodyShape, ResponseKind};
-use crate::server_connection::SendError;
+use crate::server_connection::{SendError, ServerConnection};
 use crate::server_response::ServerResponse;
 
 /// Sends the request once and forwards the response, if it is a success.
@@ -34,7 +35,7 @@
     progress: &Rc<Progress>,
 ) -> Result<ServerResponse, AttemptResult> {
     let state = progress.state();
-    let is_excluded = |connection| request.is_excluded_from(connection);
+    let is_excluded = |connection: &ServerConnection| request.is_excluded_from(connection);
     let checked_out = state.pool.check_out(&command.server, &command.address, is_excluded).await;
     let mut connection = checked_out.map_err(|error| {
         slog::debug!(state.log, "failed to connect to server"; "server" => &command.server, "error" => %error);
@@ -45,7 +46,8 @@
     };
     request.record_connection(connection.id());
     let written = progress.clone();
-    match connection.send(message, Box::new(move || written.on_request_written())).await {
+    let time_left = Duration::from_millis(command.deadline_ms);
+    match connection.send(message, time_left, Box::new(move || written.on_request_written())).await {
         Ok(response) => Ok(ServerResponse::new(response, connection)),
         Err(error) => Err(send_failure(&error)),
     }
--- a/dataplane/src/body_memory.rs
+++ b/dataplane/src/body_memory.rs
@@ -17,12 +17,27 @@
 
     /// Reserves memory for a body; `None` if the bodies held leave too little.
     pub fn reserve(self: &Rc<Self>, bytes: u64) -> Option<BodyReservation> {
-        let reserved = self.reserved_bytes.get().checked_add(bytes)?;
-        if reserved > self.max_bytes {
-            return None;
+        self.try_reserve(bytes).then(|| BodyReservation { memory: self.clone(), bytes })
+    }
+
+    fn try_reserve(&self, bytes: u64) -> bool {
+        let reserved = self.reserved_bytes.get().saturating_add(bytes);
+        let fits = reserved <= self.max_bytes;
+        if fits {
+            self.reserved_bytes.set(reserved);
+        }
+        fits
+    }
+}
+
+impl BodyReservation {
+    /// Reserves more memory for the body; false, and nothing is reserved, if the bodies held leave too little.
+    pub fn grow(&mut self, bytes: u64) -> bool {
+        let reserved = self.memory.try_reserve(bytes);
+        if reserved {
+            self.bytes += bytes;
         }
-        self.reserved_bytes.set(reserved);
-        Some(BodyReservation { memory: self.clone(), bytes })
+        reserved
     }
 }
 
--- a/dataplane/src/client_connection.rs
+++ b/dataplane/src/client_connection.rs
@@ -1,13 +1,15 @@
 //! The state of one client connection: what it is doing, since when, and whether it is to close.
 
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::Waker;
 
 use shaletrail_configuration::ClientLimits;
 use shaletrail_protocol::Millis;
+use tokio::net::TcpStream;
 
 use crate::clock::Clock;
+use crate::shared_stream::is_read_closed;
 use crate::tracked_stream::IoObserver;
 
 /// The longest time for one response, in milliseconds: a client that takes longer does not read.
@@ -43,17 +45,20 @@
     phase: Cell<Phase>,
     phase_since: Cell<Millis>,
     disposition: Cell<Disposition>,
+    /// The socket, for as long as it is open.
+    stream: Weak<TcpStream>,
     waker: RefCell<Option<Waker>>,
 }
 
 impl ClientConnection {
     /// A connection that has just been accepted.
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, stream: &Rc<TcpStream>) -> Self {
         ClientConnection {
             clock,
             phase: Cell::new(Phase::Idle),
             phase_since: Cell::new(clock.now()),
             disposition: Cell::new(Disposition::KeepOpen),
+            stream: Rc::downgrade(stream),
             waker: RefCell::default(),
         }
     }
@@ -69,6 +74,16 @@
         self.enter(Phase::Responding);
     }
 
+    /// Whether the client has left: whatever it sent before need not be served any more.
+    pub fn has_client_left(&self) -> bool {
+        self.stream.upgrade().is_none_or(|stream| is_read_closed(&stream))
+    }
+
+    /// Whether a request is being served.
+    pub fn is_responding(&self) -> bool {
+        self.phase.get() == Phase::Responding
+    }
+
     /// What is to become of the connection.
     pub fn disposition(&self) -> Disposition {
         self.disposition.get()
--- a/dataplane/src/client_request.rs
+++ b/dataplane/src/client_request.rs
@@ -13,7 +13,7 @@
 use crate::body_memory::BodyReservation;
 use crate::mailbox::SendCommand;
 use crate::request::{strip_hop_by_hop, ATTEMPT_ID, DEADLINE_MS, EXPECTED_INSTANCE, LAST_EVENT_ID, PRIORITY};
-use crate::server_connection::ConnectionId;
+use crate::server_connection::{ConnectionId, ServerConnection};
 
 /// A client's request, buffered completely, so that it can be sent more than once.
 pub struct ClientRequest {
@@ -67,9 +67,12 @@
 
     /// Whether the request must not be sent over this connection, as a surplus response could be accepted as its own:
     /// either it has been sent over it before, with the same `Attempt-Id`, so that the earlier response may arrive twice;
+    /// or the connection's last request had the same id, as where a client gives one id to two tries (of a response to an
+    /// earlier one, the last would have shown the surplus);
     /// or it has no `Attempt-Id`, so that only a connection which has carried no response will do.
-    pub fn is_excluded_from(&self, connection: ConnectionId) -> bool {
-        self.attempt_id().is_none() || self.used.borrow().contains(&connection)
+    pub fn is_excluded_from(&self, connection: &ServerConnection) -> bool {
+        self.attempt_id().is_none_or(|id| connection.last_attempt_id() == Some(id))
+            || self.used.borrow().contains(&connection.id())
     }
 
     /// The request that one attempt sends; `None` if the server's id is not valid as a header value.
--- a/dataplane/src/ingress.rs
+++ b/dataplane/src/ingress.rs
@@ -7,8 +7,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
@@ -70,6 +70,8 @@
     let arrived_at = state.clock.now();
     let (head, body) = request.into_parts();
     let mut response = match read_body(&state, body).await {
+        // It may have been sent ahead of the response before, by a client that left meanwhile.
+        Ok(_) if connection.has_client_left() => return Err(ResponseAborted),
         Ok((body, reservation)) => {
             connection.begin_response();
             start_exchange(&state, head, body, reservation, arrived_at).await?
@@ -107,18 +109,34 @@
     if body.is_end_stream() {
         return Ok((Bytes::new(), reservation));
     }
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let bytes = match Limited::new(body, limit).collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => return Err(BodyError::TooLong),
-        Err(_) => return Err(BodyError::Interrupted),
-    };
-    if declared.is_none() {
-        reservation = state.body_memory.reserve(bytes.len() as u64).ok_or(BodyError::OutOfMemory)?;
-    }
+    let is_reserved = declared.is_some();
+    let bytes = collect_body(body, limit, |length| is_reserved || reservation.grow(length)).await?;
     Ok((bytes, reservation))
 }
 
+/// Collects a body of up to `limit` bytes. `reserve` is asked for each part of it before the next one is read, so that bodies
+/// without a declared length are bounded while they come in.
+async fn collect_body(
+    mut body: Incoming,
+    limit: u64,
+    mut reserve: impl FnMut(u64) -> bool,
+) -> Result<Bytes, BodyError> {
+    let mut parts = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Interrupted)?;
+        // Trailers are not passed on.
+        let Ok(part) = frame.into_data() else { continue };
+        if (parts.len() + part.len()) as u64 > limit {
+            return Err(BodyError::TooLong);
+        }
+        if !reserve(part.len() as u64) {
+            return Err(BodyError::OutOfMemory);
+        }
+        parts.extend_from_slice(&part);
+    }
+    Ok(parts.freeze())
+}
+
 /// Finds the request's route and starts its exchange; returns once the response has a head.
 async fn start_exchange(
     state: &Rc<State>,
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -68,10 +68,12 @@
 mod server;
 mod server_connection;
 mod server_response;
+mod shared_stream;
 pub mod shutdown_window;
 mod stall_detector;
 mod state;
 mod tracked_stream;
+pub mod unacknowledged_limit;
 
 pub use control::Control;
 pub use error::DataplaneError;
--- a/dataplane/src/listener.rs
+++ b/dataplane/src/listener.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use shaletrail_protocol::Millis;
 use socket2::SockRef;
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
@@ -29,6 +30,8 @@
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// A client counts as gone after this long without an acknowledgement of sent bytes.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Between two looks at whether a client has left that has sent more than hyper has read.
+const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The smallest read buffer of a client connection, in bytes.
 const MIN_READ_BUFFER_BYTES: usize = 128 << 10;
 
@@ -123,7 +126,8 @@
         }
         let id = self.next_id.get();
         self.next_id.set(id.wrapping_add(1));
-        let connection = Rc::new(ClientConnection::new(self.state.clock));
+        let stream = Rc::new(stream);
+        let connection = Rc::new(ClientConnection::new(self.state.clock, &stream));
         self.connections.borrow_mut().insert(id, connection.clone());
         tokio::task::spawn_local(async move {
             serve(self.state.clone(), connection, stream).await;
@@ -134,9 +138,11 @@
 }
 
 /// Serves the requests of one connection, until it ends.
-async fn serve(state: Rc<State>, connection: Rc<ClientConnection>, stream: TcpStream) {
+async fn serve(state: Rc<State>, connection: Rc<ClientConnection>, stream: Rc<TcpStream>) {
     let max_head_bytes = usize::try_from(state.view().limits.max_header_bytes);
     let max_head_bytes = max_head_bytes.unwrap_or(MIN_READ_BUFFER_BYTES);
+    let mut departure = pin!(departure(stream.clone()));
+    let mut has_departed = false;
     let io = TrackedStream::new(stream, connection.clone());
     let service = {
         let connection = connection.clone();
@@ -161,12 +167,27 @@
             }
         }
         connection.register(context.waker());
+        // Hyper reads no further while a request is served and bytes of the next one are there, and so sees no end.
+        has_departed = has_departed || departure.as_mut().poll(context).is_ready();
+        if has_departed && connection.is_responding() {
+            return Poll::Ready(());
+        }
         // Nothing depends on how a client's connection ended.
         serving.as_mut().poll(context).map(drop)
     })
     .await;
 }
 
+/// Waits until the client has ended the connection, or its sending half.
+async fn departure(stream: Rc<TcpStream>) {
+    loop {
+        match stream.ready(Interest::READABLE).await {
+            Ok(ready) if !ready.is_read_closed() => tokio::time::sleep(DEPARTURE_CHECK_INTERVAL).await,
+            _ => return,
+        }
+    }
+}
+
 fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
--- a/dataplane/src/poller.rs
+++ b/dataplane/src/poller.rs
@@ -90,9 +90,11 @@
     pub async fn step(&mut self) {
         let Some(coordinator) = self.coordinators.choose() else { return self.begin_round().await };
         let started_at = Instant::now();
+        let polled_at = self.state.clock.now();
         match self.poll(coordinator).await {
             Ok(response) => {
                 self.coordinators.succeeded();
+                self.state.handle(Event::BudgetShareRenewed { polled_at });
                 self.apply_response(response);
                 tokio::time::sleep_until(started_at + MIN_POLL_INTERVAL).await;
             }
--- a/dataplane/src/pool.rs
+++ b/dataplane/src/pool.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ahash::AHashMap;
 use bytes::Bytes;
@@ -83,7 +84,7 @@
         self: &Rc<Self>,
         server: &str,
         address: &str,
-        is_excluded: impl Fn(ConnectionId) -> bool,
+        is_excluded: impl Fn(&ServerConnection) -> bool,
     ) -> Result<PooledConnection, ConnectError> {
         // Ended by its drop, also where no connection comes up.
         let checkout = Checkout::begin(self, server, address);
@@ -119,12 +120,12 @@
         &self,
         server: &str,
         now: Millis,
-        is_excluded: impl Fn(ConnectionId) -> bool,
+        is_excluded: impl Fn(&ServerConnection) -> bool,
     ) -> Option<ServerConnection> {
         let mut servers = self.servers.borrow_mut();
         let entry = servers.get_mut(server)?;
         entry.idle.retain(|idle| idle.is_usable(now));
-        let position = entry.idle.iter().rposition(|idle| !is_excluded(idle.connection.id()))?;
+        let position = entry.idle.iter().rposition(|idle| !is_excluded(&idle.connection))?;
         Some(entry.idle.remove(position).connection)
     }
 
@@ -212,13 +213,15 @@
         self.connection.id()
     }
 
-    /// Sends a request and waits for the head of the response. `on_first_write` runs when its first byte is written.
+    /// Sends a request, which has so much time left, and waits for the head of the response. `on_first_write` runs when its
+    /// first byte is written.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        time_left: Duration,
         on_first_write: Box<dyn FnOnce()>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.connection.send(request, on_first_write).await
+        self.connection.send(request, time_left, on_first_write).await
     }
 
     /// Returns the connection after a complete response. `keep_alive_ms` is the server's time for idle ones. The
--- a/dataplane/src/server_connection.rs
+++ b/dataplane/src/server_connection.rs
@@ -2,25 +2,26 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
+use crate::request::ATTEMPT_ID;
 use crate::tracked_stream::{IoObserver, TrackedStream};
+use crate::unacknowledged_limit::{unacknowledged_limit, DEFAULT_LIMIT};
 
 /// How long a connection may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// A connection counts as broken after this long without an acknowledgement of sent bytes.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1200);
 /// The first keep-alive probe is sent after this long without traffic.
 const KEEPALIVE_TIME: Duration = Duration::from_millis(1000);
 /// Between two keep-alive probes.
@@ -123,6 +124,11 @@
     driver: AbortHandle,
     _permit: ConnectionPermit,
     has_served: bool,
+    /// The socket, for as long as hyper has it open.
+    stream: Weak<TcpStream>,
+    unacknowledged_limit: Duration,
+    /// `Attempt-Id` of the last request.
+    last_attempt_id: Option<HeaderValue>,
 }
 
 impl Drop for ServerConnection {
@@ -144,13 +150,25 @@
         let stream = connected.context(SocketSnafu)?;
         configure(&stream).context(SocketSnafu)?;
         let tracker = Rc::new(WriteTracker::default());
+        let stream = Rc::new(stream);
+        let socket = Rc::downgrade(&stream);
         let io = TrackedStream::new(stream, tracker.clone());
         let mut builder = http1::Builder::new();
         let handshake = builder.max_buf_size(MAX_READ_BUFFER_BYTES).handshake(io);
         let (sender, connection) = handshake.await.context(HandshakeSnafu)?;
         // The request in flight sees how the connection ended.
         let driver = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
-        Ok(ServerConnection { id, sender, tracker, driver, _permit: permit, has_served: false })
+        Ok(ServerConnection {
+            id,
+            sender,
+            tracker,
+            driver,
+            _permit: permit,
+            has_served: false,
+            stream: socket,
+            unacknowledged_limit: DEFAULT_LIMIT,
+            last_attempt_id: None,
+        })
     }
 
     /// The connection's id.
@@ -158,6 +176,11 @@
         self.id
     }
 
+    /// `Attempt-Id` of the last request that was sent on it.
+    pub fn last_attempt_id(&self) -> Option<&HeaderValue> {
+        self.last_attempt_id.as_ref()
+    }
+
     /// Whether the next request may be sent: the previous exchange is complete in both directions.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -168,14 +191,19 @@
         self.sender.is_closed()
     }
 
-    /// Sends a request and waits for the head of the response. `on_first_write` runs when its first byte is written.
+    /// Sends a request, which has so much time left, and waits for the head of the response. `on_first_write` runs when its
+    /// first byte is written.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        time_left: Duration,
         on_first_write: Box<dyn FnOnce()>,
     ) -> Result<Response<Incoming>, SendError> {
         let was_reused = self.has_served;
         self.has_served = true;
+        self.last_attempt_id = request.headers().get(ATTEMPT_ID).cloned();
+        let body_bytes = request.body().size_hint().exact().unwrap_or(0);
+        self.limit_unacknowledged(usize::try_from(body_bytes).unwrap_or(usize::MAX), time_left);
         self.tracker.arm(on_first_write);
         let response = self.sender.try_send_request(request).await;
         response.map_err(|error| SendError {
@@ -186,9 +214,22 @@
     }
 }
 
+impl ServerConnection {
+    fn limit_unacknowledged(&mut self, body_bytes: usize, time_left: Duration) {
+        let limit = unacknowledged_limit(body_bytes, time_left);
+        if limit == self.unacknowledged_limit {
+            return;
+        }
+        let Some(stream) = self.stream.upgrade() else { return };
+        if SockRef::from(&*stream).set_tcp_user_timeout(Some(limit)).is_ok() {
+            self.unacknowledged_limit = limit;
+        }
+    }
+}
+
 fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(DEFAULT_LIMIT))?;
     socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE_TIME).with_interval(KEEPALIVE_INTERVAL))
 }
--- a/dataplane/src/tracked_stream.rs
+++ b/dataplane/src/tracked_stream.rs
@@ -9,6 +9,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::shared_stream::SharedStream;
+
 /// Is notified of reads and writes.
 pub trait IoObserver {
     /// Bytes, the end of the stream or an error have been read.
@@ -19,14 +21,14 @@
 
 /// A TCP stream and its observer.
 pub struct TrackedStream<O> {
-    io: TokioIo<TcpStream>,
+    io: TokioIo<SharedStream>,
     observer: Rc<O>,
 }
 
 impl<O: IoObserver> TrackedStream<O> {
     /// A stream that notifies `observer`.
-    pub fn new(stream: TcpStream, observer: Rc<O>) -> Self {
-        TrackedStream { io: TokioIo::new(stream), observer }
+    pub fn new(stream: Rc<TcpStream>, observer: Rc<O>) -> Self {
+        TrackedStream { io: TokioIo::new(SharedStream::new(stream)), observer }
     }
 
     fn notify_write(&self, result: &Poll<io::Result<usize>>) {
--- a/dataplane/tests/connections.rs
+++ b/dataplane/tests/connections.rs
@@ -235,3 +235,77 @@
         assert_eq!(response.body, "still there");
     });
 }
+
+#[test]
+fn pipelined_request_of_departed_client_is_not_sent() {
+    run(async {
+        // given: a client that sends two requests at once
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "non_idempotent")]), &[&server]).await;
+        let mut client = edge.connect().await;
+        let request = |id: &str| {
+            format!("POST /x/ HTTP/1.1\r\nhost: a.example\r\nattempt-id: {id}\r\ncontent-length: 0\r\n\r\n")
+        };
+        client.write(&format!("{}{}", request("t1"), request("t2"))).await;
+        let (mut upstream, first) = server.accept_request().await;
+        assert_eq!(first.header("attempt-id"), Some("t1"));
+
+        // when
+        drop(client);
+
+        // then: the first is given up, and the second never sent
+        upstream.closed().await;
+        edge.readiness_status().await;
+        assert!(!server.is_contacted().await);
+    });
+}
+
+#[test]
+fn request_answered_after_its_client_left_sends_no_pipelined_one() {
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "non_idempotent")]), &[&server]).await;
+        let mut client = edge.connect().await;
+        let request = |id: &str| {
+            format!("POST /x/ HTTP/1.1\r\nhost: a.example\r\nattempt-id: {id}\r\ncontent-length: 0\r\n\r\n")
+        };
+        client.write(&format!("{}{}", request("t1"), request("t2"))).await;
+        let (mut upstream, first) = server.accept_request().await;
+
+        // when: the client leaves at the moment of the response
+        drop(client);
+        upstream.respond(&first, "one").await;
+
+        // then
+        assert!(upstream.next_request().await.is_none(), "a second request was sent");
+        edge.readiness_status().await;
+        assert!(!server.is_contacted().await);
+    });
+}
+
+#[test]
+fn attempt_id_used_twice_never_meets_on_one_connection() {
+    run(async {
+        // given
+        let server = Server::start("i-1").await;
+        let edge = Edge::with(&configuration(&[route("r", "/x/", "non_idempotent")]), &[&server]).await;
+        let mut client = edge.connect().await;
+        client.request("/x/", "t1", "").await;
+        let (mut first, request) = server.accept_request().await;
+        first.respond(&request, "one").await;
+        client.read_response().await;
+
+        // when: another try with the same id, and then one with its own
+        client.request("/x/", "t1", "").await;
+        let (mut second, request) = server.accept_request().await;
+        second.respond(&request, "two").await;
+        let response = client.read_response().await;
+        client.request("/x/", "t2", "").await;
+        let third = second.read_request().await;
+
+        // then
+        assert_eq!(response.body, "two");
+        assert_eq!(third.header("attempt-id"), Some("t2"));
+    });
+}
--- a/dataplane/tests/parsing.rs
+++ b/dataplane/tests/parsing.rs
@@ -13,6 +13,7 @@
     classify, keep_alive, retry_after, server_load, BodyShape, MalformedReason, ResponseKind,
 };
 use shaletrail_dataplane::shutdown_window::ShutdownWindow;
+use shaletrail_dataplane::unacknowledged_limit::{unacknowledged_limit, DEFAULT_LIMIT};
 use shaletrail_protocol::NodeId;
 use std::time::Duration;
 
@@ -311,3 +312,11 @@
     assert!(at_once && while_still_polled && late_and_short && last_that_fits);
     assert!(!late_and_long && !first_that_does_not);
 }
+
+#[test]
+fn long_body_may_stay_unread_until_the_deadline() {
+    let time_left = Duration::from_secs(12);
+    assert_eq!(unacknowledged_limit(1_000, time_left), DEFAULT_LIMIT);
+    assert_eq!(unacknowledged_limit(1 << 20, time_left), time_left);
+    assert_eq!(unacknowledged_limit(1 << 20, Duration::from_millis(100)), DEFAULT_LIMIT);
+}
--- a/dataplane/tests/requests.rs
+++ b/dataplane/tests/requests.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use common::{config_update, configuration, first_contacted, route, route_to, run, Edge, Server};
+use common::{
+    config_update, configuration, configuration_within, first_contacted, route, route_to, run, Edge, Server,
+};
 
 #[test]
 fn request_is_forwarded_without_hop_by_hop_headers() {
@@ -373,3 +375,35 @@
         assert_eq!(edge.coordinator.polls().last().map(|poll| poll.config_version), Some(5));
     });
 }
+
+#[test]
+fn chunked_bodies_are_bounded_while_they_come_in() {
+    run(async {
+        // given: a quarter of 1 MB for bodies, most of which one client has filled without an end
+        let server = Server::start("i-1").await;
+        let routes = configuration_within(&[route("r", "/x/", "idempotent")], 15_000, 1 << 20);
+        let edge = Edge::with_memory(&routes, &[&server], 1).await;
+        let head = |id: &str| {
+            format!("POST /x/ HTTP/1.1\r\nhost: a.example\r\nattempt-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n")
+        };
+        let part = "b".repeat(100_000);
+        let mut first = edge.connect().await;
+        first.write(&head("t1")).await;
+        first.chunk(&part).await;
+        first.chunk(&part).await;
+
+        // when: another one, of which the end is not there either
+        let mut second = edge.connect().await;
+        second.write(&head("t2")).await;
+        second.chunk(&part).await;
+        let response = second.read_response().await;
+
+        // then
+        assert_eq!(response.status(), 503);
+        first.end_chunks().await;
+        let (mut upstream, request) = server.accept_request().await;
+        assert_eq!(request.body.len(), 200_000);
+        upstream.respond(&request, "whole").await;
+        assert_eq!(first.read_response().await.body, "whole");
+    });
+}
--- a/placement/src/contents.rs
+++ b/placement/src/contents.rs
@@ -83,6 +83,14 @@
     unidentified_adapters: usize,
 }
 
+/// The largest sizes of a model and of one of its adapters in configurations that were in force while a server held or loaded
+/// it, in MB: which one the weights on the server are of is not known.
+#[derive(Clone, Copy, Debug, Default)]
+struct FormerSizes {
+    model_mb: f64,
+    adapter_mb: f64,
+}
+
 impl Replica {
     /// Applies the adapters that a message lists, and adds what it lacks to `removed`.
     fn reconcile(
@@ -117,6 +125,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerContents {
     replicas: BTreeMap<ModelId, Replica>,
+    /// Of models that are there, or are being loaded, since before the last change of the configuration.
+    former_sizes: BTreeMap<ModelId, FormerSizes>,
     /// Whether the server holds models without an index, whose size is unknown.
     has_unidentified_model: bool,
 }
@@ -142,6 +152,7 @@
             let stays = is_listed || replica.evidence.survives(now, source);
             if !stays {
                 removed.artifacts.push(Artifact::model(*id));
+                self.former_sizes.remove(id);
             }
             stays
         });
@@ -184,6 +195,30 @@
         self.replicas.values().map(Replica::adapter_count).sum()
     }
 
+    /// The configuration is about to change: what is there, or is being loaded, may keep the sizes that it has now.
+    pub fn keep_sizes(&mut self, models: &ModelTable, loading: Option<Artifact>) {
+        let held = self.replicas.keys().copied().chain(loading.map(|artifact| artifact.model));
+        // The sizes of others are assumed.
+        let is_configured = |id: &ModelId| models.get(*id).is_some_and(|model| model.is_configured);
+        for id in held.filter(is_configured) {
+            let former = self.former_sizes.entry(id).or_default();
+            former.model_mb = former.model_mb.max(models.size_mb(Artifact::model(id)));
+            former.adapter_mb = former.adapter_mb.max(models.size_mb(Artifact::adapter(id, 0)));
+        }
+    }
+
+    /// The model is loaded anew, with the size that it has now.
+    pub fn forget_former_sizes(&mut self, id: ModelId) {
+        self.former_sizes.remove(&id);
+    }
+
+    /// The size that an artifact has on this server, or a greater one, in MB.
+    pub fn size_mb(&self, artifact: Artifact, models: &ModelTable) -> f64 {
+        let former = self.former_sizes.get(&artifact.model).copied().unwrap_or_default();
+        let former_mb = if artifact.adapter.is_some() { former.adapter_mb } else { former.model_mb };
+        models.size_mb(artifact).max(former_mb)
+    }
+
     /// Used capacity in MB; infinite with a model of unknown size.
     pub fn used_mb(&self, models: &ModelTable) -> f64 {
         if self.has_unidentified_model {
@@ -195,11 +230,11 @@
     /// Capacity that a model uses with its adapters, in MB; 0 if the server does not hold it.
     pub fn replica_mb(&self, id: ModelId, models: &ModelTable) -> f64 {
         let Some(replica) = self.replicas.get(&id) else { return 0.0 };
-        let model_mb = models.size_mb(Artifact::model(id));
+        let model_mb = self.size_mb(Artifact::model(id), models);
         // The size of an adapter of an unknown model is infinite, which must not be multiplied by zero.
         match replica.adapter_count() {
             0 => model_mb,
-            count => model_mb + count as f64 * models.size_mb(Artifact::adapter(id, 0)),
+            count => model_mb + count as f64 * self.size_mb(Artifact::adapter(id, 0), models),
         }
     }
 }
--- a/placement/src/demand.rs
+++ b/placement/src/demand.rs
@@ -30,8 +30,10 @@
     pub open: u32,
     /// When requests last found every replica at its concurrency limit.
     pub last_over_capacity: Option<Millis>,
-    /// Priority of the latest requests, 0 for the most urgent.
+    /// Priority of the most urgent requests that were reported lately, 0 for the most urgent of all.
     pub priority: u8,
+    /// When requests of that priority were last reported.
+    pub priority_reported_at: Option<Millis>,
     /// Adapters that were ever requested, by number.
     pub adapters: BTreeMap<u32, AdapterDemand>,
 }
--- a/placement/src/demand_sources.rs
+++ b/placement/src/demand_sources.rs
@@ -94,8 +94,13 @@
     let is_requested = entry.arrived > 0 || entry.queued > 0 || entry.in_flight > 0;
     demand.tokens.add(now, entry.tokens as f64);
     if is_requested {
+        let is_stale =
+            demand.priority_reported_at.is_none_or(|at| now.saturating_sub(at) >= DEMAND_REPORT_TTL);
+        if is_stale || entry.priority <= demand.priority {
+            demand.priority = entry.priority;
+            demand.priority_reported_at = Some(now);
+        }
         demand.last_requested = Some(now);
-        demand.priority = entry.priority;
     }
     if entry.over_capacity > 0 {
         demand.last_over_capacity = Some(now);
--- a/placement/src/planner/mod.rs
+++ b/placement/src/planner/mod.rs
@@ -103,6 +103,7 @@
 
     /// Applies a changed configuration.
     pub fn set_catalogue(&mut self, catalogue: Catalogue) {
+        self.servers.values_mut().for_each(|server| server.keep_sizes(&self.models));
         self.models.set_catalogue(&catalogue);
         self.origin.set_rate(catalogue.load_per_s);
         self.model_slots_per_server = catalogue.model_slots_per_server();
--- a/placement/src/server/mod.rs
+++ b/placement/src/server/mod.rs
@@ -134,8 +134,19 @@
 
     /// Capacity that may be in use, a load in flight included, in MB.
     pub fn used_mb(&self, models: &ModelTable) -> f64 {
+        let loading = self.loading().filter(|artifact| !self.contents.has(*artifact));
+        let loading_mb = loading.map_or(0.0, |artifact| self.contents.size_mb(artifact, models));
+        self.contents.used_mb(models) + loading_mb
+    }
+
+    /// The configuration is about to change: what the server holds or loads may keep the sizes that it has now.
+    pub fn keep_sizes(&mut self, models: &ModelTable) {
+        let loading = self.loading();
+        self.contents.keep_sizes(models, loading);
+    }
+
+    fn loading(&self) -> Option<Artifact> {
         let load = self.in_flight.as_ref().filter(|order| order.operation == Operation::Load);
-        let loading = load.map(|order| order.artifact).filter(|artifact| !self.contents.has(*artifact));
-        self.contents.used_mb(models) + loading.map_or(0.0, |artifact| models.size_mb(artifact))
+        load.map(|order| order.artifact)
     }
 }
--- a/placement/src/server/orders.rs
+++ b/placement/src/server/orders.rs
@@ -16,6 +16,9 @@
     /// An order is sent.
     pub fn order_sent(&mut self, order: InFlightOrder) {
         self.reports.order_sent(order.sent_at);
+        if order.is_for_model(Operation::Load) {
+            self.contents.forget_former_sizes(order.artifact.model);
+        }
         self.in_flight = Some(order);
     }
 
--- a/routing/src/dispatch.rs
+++ b/routing/src/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::balance::{select, SelectedServer, Selection, Unavailable};
 use crate::interface::{Action, Attempt, RejectReason};
 use crate::request::{InFlight, Phase, Request};
+use crate::retry_budget::SlackShare;
 use crate::router::Router;
 use crate::target::Target;
 
@@ -89,14 +90,20 @@
         (!may_retry).then(|| request.exhausted_reason())
     }
 
+    /// This edge's share of the slack of retry budgets.
+    fn slack_share(&self) -> SlackShare {
+        SlackShare { edges: self.edges, until: self.budget_share_until }
+    }
+
     /// Whether the request may visit one more server.
     fn may_use_another_server(&self, request: &Request) -> bool {
         (request.visited.len() as u32) < request.incoming.route.max_attempts
     }
 
     fn has_retry_budget(&mut self, now: Millis, target: &Target) -> bool {
+        let share = self.slack_share();
         let pool = self.pools.get_mut(&target.service);
-        pool.is_some_and(|pool| pool.budget.has_balance(now, self.edges, &self.options))
+        pool.is_some_and(|pool| pool.budget.has_balance(now, share, &self.options))
     }
 
     /// The server that a request would be sent to now.
@@ -138,6 +145,7 @@
         selected: SelectedServer,
         prefill: u32,
     ) -> Option<(ServerId, String)> {
+        let share = self.slack_share();
         let server = self.servers.get_mut(selected.server)?;
         self.has_urgent_load |= server.local_load.record_sent(now, prefill);
         server.open += 1;
@@ -146,7 +154,7 @@
         if let Some(pool) = self.pools.get_mut(&request.target.service) {
             pool.open += 1;
             if request.arrivals > 0 {
-                pool.budget.withdraw(now, self.edges, &self.options);
+                pool.budget.withdraw(now, share, &self.options);
             }
         }
         if let Some(demand) = self.demand.of(&request.target, &self.options) {
--- a/routing/src/interface.rs
+++ b/routing/src/interface.rs
@@ -28,6 +28,12 @@
     },
     /// Number of edges at work, this one included; budgets and limits are divided by it.
     EdgeCountUpdated(u32),
+    /// A coordinator in contact with a quorum has answered a poll, which was sent at this time: this edge's share of the retry
+    /// budget's slack holds for one window from then on.
+    BudgetShareRenewed {
+        /// When the poll was sent.
+        polled_at: Millis,
+    },
     /// The edges at work, by name.
     EdgesUpdated {
         /// This edge.
--- a/routing/src/retry_budget.rs
+++ b/routing/src/retry_budget.rs
@@ -1,13 +1,35 @@
 //! This edge's part of the retries that the operators allow for a service.
 //!
 //! Over any window and all edges, arrivals beyond the first of each request may not be more than
-//! `ratio * requests + slack`. Each edge keeps to `ratio` of its own requests and an equal part of the slack.
+//! `ratio * requests + slack`. Each edge keeps to `ratio` of its own requests and an equal part of the slack. That part has a
+//! term, as a lease has: one window from the sending of the last poll that a coordinator answered. An edge that reaches no
+//! coordinator for longer is no longer counted by them, and the others' parts have grown by its own.
 
 use shaletrail_protocol::Millis;
 
 use crate::sliding_count::SlidingCount;
 use crate::Options;
 
+/// This edge's part of the slack.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlackShare {
+    /// The edges among which the slack is divided; 0 where that is not known.
+    pub edges: u32,
+    /// When the part ends; `None` before the first poll was answered.
+    pub until: Option<Millis>,
+}
+
+impl SlackShare {
+    fn of_slack(self, now: Millis, options: &Options) -> f64 {
+        let is_over = self.until.is_some_and(|until| now >= until);
+        if is_over || now < options.slack_available_from_ms {
+            return 0.0;
+        }
+        let edges = if self.edges == 0 { options.assumed_edges } else { self.edges };
+        options.retry_slack / f64::from(edges.max(1))
+    }
+}
+
 /// Requests and retries of one service at this edge.
 #[derive(Clone, Debug)]
 pub(crate) struct RetryBudget {
@@ -27,8 +49,8 @@
     }
 
     /// Withdraws a retry; returns whether one was left.
-    pub fn withdraw(&mut self, now: Millis, edges: u32, options: &Options) -> bool {
-        let allowed = self.has_balance(now, edges, options);
+    pub fn withdraw(&mut self, now: Millis, share: SlackShare, options: &Options) -> bool {
+        let allowed = self.has_balance(now, share, options);
         if allowed {
             self.retries.add(now);
         }
@@ -36,12 +58,8 @@
     }
 
     /// Whether a retry is left.
-    pub fn has_balance(&mut self, now: Millis, edges: u32, options: &Options) -> bool {
-        let edges = if edges == 0 { options.assumed_edges } else { edges };
-        let slack = match now < options.slack_available_from_ms {
-            true => 0.0,
-            false => options.retry_slack / f64::from(edges.max(1)),
-        };
+    pub fn has_balance(&mut self, now: Millis, share: SlackShare, options: &Options) -> bool {
+        let slack = share.of_slack(now, options);
         let allowance = options.retry_ratio * f64::from(self.requests.lower_bound(now)) + slack;
         f64::from(self.retries.upper_bound(now)) + 1.0 <= allowance * options.budget_fraction
     }
--- a/routing/src/router.rs
+++ b/routing/src/router.rs
@@ -25,6 +25,8 @@
     pub(crate) random: Pcg64Mcg,
     pub(crate) view: Option<Arc<View>>,
     pub(crate) edges: u32,
+    /// Until when this edge's share of the retry budget's slack holds; `None` before the first poll was answered.
+    pub(crate) budget_share_until: Option<Millis>,
     pub(crate) shutting_down: bool,
     pub(crate) servers: ServerTable,
     pub(crate) pools: BTreeMap<String, ServerPool>,
@@ -49,6 +51,7 @@
             random: Pcg64Mcg::seed_from_u64(seed),
             view: None,
             edges: 0,
+            budget_share_until: None,
             shutting_down: false,
             servers: ServerTable::default(),
             pools: BTreeMap::new(),
@@ -69,6 +72,10 @@
             Event::ConfigurationUpdated(view) => self.on_view(now, view, actions),
             Event::ServersUpdated { records, complete } => self.on_servers(now, records, complete, actions),
             Event::EdgeCountUpdated(edges) => self.edges = edges,
+            Event::BudgetShareRenewed { polled_at } => {
+                let until = polled_at + self.options.retry_window_ms;
+                self.budget_share_until = Some(self.budget_share_until.unwrap_or(until).max(until));
+            }
             Event::EdgesUpdated { own, edges } => self.load_gossip.set_edges(own, &edges),
             Event::PeerLoads { edge, scope, loads } => self.load_gossip.receive(now, edge, scope, loads),
             Event::Request(request) => self.on_request(now, request, actions),
--- a/simulation/src/coordinator.rs
+++ b/simulation/src/coordinator.rs
@@ -63,6 +63,7 @@
     next_call: u64,
     orders: BTreeMap<OrderId, InFlightOrder>,
     reports: BTreeMap<CallNumber, ServerId>,
+    shutdown_requested_at: Option<Millis>,
     crash_point: Option<CrashPoint>,
     crashed: bool,
 }
@@ -89,6 +90,7 @@
             next_call: 0,
             orders: BTreeMap::new(),
             reports: BTreeMap::new(),
+            shutdown_requested_at: None,
             crash_point: None,
             crashed: false,
         };
@@ -119,10 +121,16 @@
 
     /// Begins a graceful shutdown (SIGTERM): all callers that wait are failed.
     pub fn stop(&mut self, world: &mut World, disk: &MachineDisk) {
+        self.shutdown_requested_at = Some(world.now);
         self.handle_event(world, disk, Event::ShutdownRequested);
         self.fail_callers(world);
     }
 
+    /// Whether the process may end that was told to.
+    pub fn may_end(&self, world: &World) -> bool {
+        self.shutdown_requested_at.is_none_or(|at| self.core.may_end(world.now.saturating_sub(at)))
+    }
+
     fn fail_callers(&mut self, world: &mut World) {
         for (_, caller) in std::mem::take(&mut self.callers) {
             let connection_failed = Message::ConnectionFailed { number: caller.number, accepted: true };
--- a/simulation/src/edge.rs
+++ b/simulation/src/edge.rs
@@ -302,6 +302,8 @@
         }
         self.connected = Some(in_flight_poll.coordinator);
         self.coordinators.succeeded();
+        let polled_at = in_flight_poll.started_at.saturating_sub(self.started);
+        self.handle_event(world, Event::BudgetShareRenewed { polled_at });
         self.apply_response(world, response);
         world.wake(self.node(), world.now.max(in_flight_poll.started_at + MIN_POLL_SPACING), Timer::PollNext);
     }
--- a/simulation/src/fleet/event_loop.rs
+++ b/simulation/src/fleet/event_loop.rs
@@ -54,7 +54,7 @@
             ScheduledEvent::Start(node) => self.start(node),
             ScheduledEvent::End { node, incarnation } => {
                 if self.world.incarnation_of(node) == incarnation {
-                    self.kill(node);
+                    self.end(node, incarnation);
                 }
             }
         }
