Let reservations that nobody waits for give way to models with waiting requests

The new holder's wait was not it: the lease was held for seconds. With six models for six places a server that had been reserved for a further replica, or for a model whose demand had passed, finished evicting and loading it while requests waited for others, and then evicted it again.

Change: a planning pass may give a server that is reserved without anybody waiting to a model with waiting requests, once the server accepts an order. Reports of histories list orders, and what servers hold.

--- a/placement/src/candidates.rs
+++ b/placement/src/candidates.rs
@@ -10,7 +10,7 @@
 use crate::missing::MissingReplica;
 use crate::model::{Artifact, ModelId};
 use crate::replicas::ReplicaCounts;
-use crate::server::{Server, ServerKey};
+use crate::server::{Reservation, Server, ServerKey};
 use crate::urgency::Urgency;
 
 /// Utilisation of a server, relative to one replica at target utilisation, from which further replicas avoid it.
@@ -50,7 +50,7 @@
         let max_cost = max_eviction_cost(missing.urgency, missing.utilization());
         let mut best: Option<(Rank, ServerKey)> = None;
         for (position, key) in self.ring.sequence(Key::of(&model.spec.name)).enumerate() {
-            let Some(server) = self.available_server(*key, missing.model) else { continue };
+            let Some(server) = self.available_server(*key, missing) else { continue };
             *examined += 1;
             let cost = self.cost_to_fit(*key, server, missing.model, max_cost, counts);
             let Some(cost) = cost else { continue };
@@ -72,11 +72,16 @@
         Some(Candidate { server: key, from_origin: !server.has_on_disk(missing.model), victim })
     }
 
-    /// A server if it accepts an order now, is not chosen for another model and does not hold this one.
-    fn available_server(&self, key: ServerKey, model: ModelId) -> Option<&Server> {
+    /// A server if it accepts an order now, is not chosen for another model and does not hold this one. A reservation that no
+    /// request waits for gives way to a model that requests wait for: what it has evicted so far is room for that one.
+    fn available_server(&self, key: ServerKey, missing: &MissingReplica) -> Option<&Server> {
+        let stays = |reservation: &Reservation| {
+            missing.urgency != Urgency::Waiting || reservation.urgency == Urgency::Waiting
+        };
         let is_free = |server: &&Server| {
-            let is_claimed = server.reservation.is_some() || self.claimed.contains(&key);
-            server.accepts_orders(self.now) && !is_claimed && !server.contents.has(Artifact::model(model))
+            let is_claimed = server.reservation.as_ref().is_some_and(stays) || self.claimed.contains(&key);
+            let holds_it = server.contents.has(Artifact::model(missing.model));
+            server.accepts_orders(self.now) && !is_claimed && !holds_it
         };
         self.servers.get(&key).filter(is_free)
     }
--- a/placement/src/planner/reservations.rs
+++ b/placement/src/planner/reservations.rs
@@ -82,6 +82,9 @@
             context.claimed.insert(candidate.server);
             let added = self.utilization_of_further_replica(missing.model, &counts);
             *context.utilization.entry(candidate.server).or_default() += added;
+            if let Some(displaced) = self.reserved_model(candidate.server) {
+                counts.update(displaced, |count| count.remove_reserved());
+            }
             if let Some(victim) = candidate.victim {
                 counts.update(victim, |count| count.remove_serving());
             }
@@ -95,6 +98,11 @@
         reservations
     }
 
+    fn reserved_model(&self, key: ServerKey) -> Option<ModelId> {
+        let reservation = self.servers.get(&key)?.reservation?;
+        Some(reservation.model)
+    }
+
     fn is_on_any_disk(&self, model: ModelId) -> bool {
         self.ready_servers().any(|server| server.has_on_disk(model))
     }
--- a/placement/tests/scarce_capacity.rs
+++ b/placement/tests/scarce_capacity.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::scenario::{catalogue, demand, waiting, Scenario};
-use shaletrail_placement::Catalogue;
+use shaletrail_placement::{Catalogue, OrderOutcome};
 use shaletrail_protocol::internal::Demand;
 
 /// Tokens by which one report raises a model's demand to eight replicas at target utilisation.
@@ -81,3 +81,24 @@
     let orders = scenario.orders_after(10);
     assert!(orders.iter().any(|order| order.contains("load m1")), "{orders:?}");
 }
+
+#[test]
+fn reservation_that_nobody_waits_for_gives_way_to_waiting_requests() {
+    // given: a server that evicts for a further replica of a busy model
+    let mut scenario = Scenario::new(4, &[&["m0", "m1"], &["m2", "m3"]]);
+    scenario.now += 6_000;
+    scenario.report_demand(&[busy("m0", TOKENS_OF_EIGHT)]);
+    let orders = scenario.next_orders();
+    assert!(orders.iter().any(|order| order.starts_with("s1 evict")), "{orders:?}");
+    scenario.complete_order(1, OrderOutcome::Accepted);
+    let (evicted, left) = if orders[0].contains("m2") { ("m2", "m3") } else { ("m3", "m2") };
+    // when: a request for the evicted model comes before the eviction is seen
+    scenario.report_demand(&[waiting(evicted)]);
+    scenario.now += 300;
+    scenario.heartbeat(0, &["m0", "m1"]);
+    scenario.heartbeat(1, &[left]);
+    scenario.report(1, 1, false, &[left]);
+    // then
+    let orders = scenario.next_orders();
+    assert_eq!(orders, [format!("s1 load {evicted} at 1")]);
+}
--- a/simulation/src/fleet.rs
+++ b/simulation/src/fleet.rs
@@ -7,6 +7,7 @@
 mod event_loop;
 mod faults;
 mod membership;
+mod processor_quota;
 mod report;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,6 +24,7 @@
 use crate::operator::Operator;
 use crate::server::{ModelServer, ServerOptions};
 use crate::world::{ScheduledEvent, Timer, World};
+use processor_quota::ProcessorQuota;
 
 /// Number of seeds in a settings file.
 const SEEDS: usize = 3;
@@ -104,6 +106,8 @@
     pub(crate) process: Option<Process>,
     /// Messages and timers that arrived while the process is frozen; `None` while it is not.
     pub(crate) frozen: Option<Vec<Deferred>>,
+    /// `None` for a machine that may always run.
+    pub(crate) quota: Option<ProcessorQuota>,
 }
 
 /// All machines of a system, their virtual time and their operator.
--- a/simulation/src/fleet/event_loop.rs
+++ b/simulation/src/fleet/event_loop.rs
@@ -52,6 +52,7 @@
                 }
             }
             ScheduledEvent::Start(node) => self.start(node),
+            ScheduledEvent::QuotaRenewed(node) => self.renew_quota(node),
             ScheduledEvent::End { node, incarnation } => {
                 if self.world.incarnation_of(node) == incarnation {
                     self.end(node, incarnation);
@@ -64,6 +65,8 @@
         if to == fixtures::operator() {
             return self.operator.receive(&mut self.world, message);
         }
+        let event = Deferred::Message(from, message);
+        let Some(Deferred::Message(from, message)) = self.defer_if_quota_is_spent(to, event) else { return };
         let machine = self.machines.entry(to).or_default();
         if let Some(deferred) = &mut machine.frozen {
             return deferred.push(Deferred::Message(from, message));
@@ -95,6 +98,8 @@
             let coordinators = self.published_coordinators();
             return self.operator.wake(&mut self.world, timer, &coordinators);
         }
+        let event = Deferred::Timer(timer);
+        let Some(Deferred::Timer(timer)) = self.defer_if_quota_is_spent(node, event) else { return };
         let Some(machine) = self.machines.get_mut(&node) else { return };
         if let Some(deferred) = &mut machine.frozen {
             return deferred.push(Deferred::Timer(timer));
@@ -159,6 +164,10 @@
             _ => deferred
                 .sort_by_key(|deferred| !matches!(deferred, Deferred::Message(_, Message::Call { .. }))),
         }
+        self.handle_deferred(node, deferred);
+    }
+
+    pub(super) fn handle_deferred(&mut self, node: NodeId, deferred: Vec<Deferred>) {
         for deferred in deferred {
             match deferred {
                 Deferred::Message(from, message) => self.deliver(from, node, message),
--- a/simulation/src/fleet/report.rs
+++ b/simulation/src/fleet/report.rs
@@ -5,7 +5,8 @@
 use shaletrail_protocol::{Millis, NodeId};
 
 use super::{
-    Fleet, CONVERGENCE, DRAIN, LEASE, ORIGIN_OVERSHOOT, ORIGIN_WINDOW, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW,
+    Fleet, Process, CONVERGENCE, DRAIN, LEASE, ORIGIN_OVERSHOOT, ORIGIN_WINDOW, RETRY_RATIO, RETRY_SLACK,
+    RETRY_WINDOW,
 };
 use crate::fixtures;
 use crate::invariants::{violations, InvariantBounds};
@@ -47,7 +48,12 @@
             .iter()
             .map(|(at, node, change)| (*at, format!("{node} {change:?}")));
         let actions = self.world.observer.actions.iter().map(|(at, what)| (*at, format!("---- {what}")));
-        let mut entries: Vec<(Millis, String)> = actions.chain(state_changes).collect();
+        let orders = self.world.observer.orders.iter().map(|order| {
+            let text =
+                format!("{} orders {} to {}: {}", order.from, order.server, order.description, order.status);
+            (order.at, text)
+        });
+        let mut entries: Vec<(Millis, String)> = actions.chain(state_changes).chain(orders).collect();
         entries.sort_by_key(|(at, _)| *at);
         lines.extend(entries.into_iter().map(|(at, what)| format!("  {at} {what}")));
         for (from, to) in self.world.network.partitions() {
@@ -56,6 +62,11 @@
         for node in self.coordinators() {
             lines.push(format!("  {node}: {}", self.describe_coordinator(node)));
         }
+        for (node, machine) in &self.machines {
+            let Some(Process::Server(server)) = &machine.process else { continue };
+            let (id, loaded) = (server.id(), server.loaded());
+            lines.push(format!("  {node}: server {id} of {} holds {loaded:?}", server.service()));
+        }
         for node in self.edges() {
             let edge = self.edge(node);
             let known = edge.map(|edge| (edge.view().version, edge.polled_coordinator()));
--- a/simulation/src/observer/observations.rs
+++ b/simulation/src/observer/observations.rs
@@ -83,6 +83,8 @@
     pub server: ServerId,
     /// The machine that sent it.
     pub from: NodeId,
+    /// What the order asks for, for messages of failed tests.
+    pub description: String,
     /// The `leaseHolder` that the order names.
     pub lease_holder: String,
     /// The `fencingToken` of the order.
--- a/simulation/src/server/orders.rs
+++ b/simulation/src/server/orders.rs
@@ -44,6 +44,7 @@
             at: world.now,
             server: self.id.clone(),
             from,
+            description: describe_order(&order),
             lease_holder: order.lease_holder.clone(),
             fencing_token: order.fencing_token,
             status,
@@ -143,3 +144,8 @@
         }
     }
 }
+
+fn describe_order(order: &Order) -> String {
+    let adapter = order.adapter.as_ref().map(|adapter| format!("/{adapter}")).unwrap_or_default();
+    format!("{} {}{adapter} at {:?}", order.operation, order.model, order.if_revision)
+}
--- a/simulation/src/world.rs
+++ b/simulation/src/world.rs
@@ -72,6 +72,8 @@
     },
     /// The process of a machine starts.
     Start(NodeId),
+    /// A machine whose quota of processor time was spent has got the next one.
+    QuotaRenewed(NodeId),
     /// The graceful shutdown of a process completes, if it is still the same incarnation.
     End {
         /// The machine's address.
--- a/simulation/tests/invariants.rs
+++ b/simulation/tests/invariants.rs
@@ -54,6 +54,7 @@
 
 fn order(at: u64, lease_holder: &str, fencing_token: u64) -> ObservedOrder {
     ObservedOrder {
+        description: String::new(),
         at,
         server: "s".into(),
         from: CORE,
