Hold the back-off after a transfer and the end of announcements by tests; mend a story's point

Cause: two guards about coming back to service that no test noticed (a leader that transferred its leadership campaigns at once; an announced version never expires), and reelected_lease_holder_waits_again passed without the two guards that name it, as the lease was over before the holder that came back had its first report.

Change: a test for each; the story plays a lease of 9 s.

--- a/consensus/tests/elections.rs
+++ b/consensus/tests/elections.rs
@@ -190,3 +190,20 @@
     let follower = group.running().into_iter().find(|node| group.role(*node) == Role::Follower);
     follower.expect("a group has a follower")
 }
+
+#[test]
+fn leader_that_transferred_its_leadership_lets_others_campaign_first() {
+    for seed in 0..40 {
+        // given
+        let mut group = Group::bootstrapped(3, seed);
+        let former = group.await_leader();
+        group.run(1000);
+        // when: it gives up the leadership, and nobody is prompted
+        group.drop_messages(|message| matches!(message, Message::TimeoutNow { .. }));
+        group.call(former, |replica, now| replica.transfer_leadership(now));
+        let has_leader = group.run_until(4000, |group| group.leader().is_some());
+        // then: its clients get another one, as what made it give up goes on
+        assert!(has_leader, "seed {seed}: {}", group.describe());
+        assert_ne!(group.leader(), Some(former), "seed {seed}");
+    }
+}
--- a/coordinator/tests/quorum_contact.rs
+++ b/coordinator/tests/quorum_contact.rs
@@ -366,3 +366,33 @@
     cluster.run(2_000);
     assert_unavailable(&cluster, degraded, change);
 }
+
+#[test]
+fn version_of_a_lost_coordinator_keeps_edges_away_for_seconds_only() {
+    // given: a coordinator that has applied a version which nobody else ever gets, and is lost at once
+    let mut cluster = Cluster::configured(3);
+    let lost = cluster.leader();
+    let staying = cluster.others(lost);
+    for number in &staying {
+        cluster.send(lost, *number, CoordinatorMessage::AppliedConfigVersion { version: 9 });
+    }
+    cluster.kill(lost);
+
+    // when
+    cluster.run(1_500);
+    let meanwhile = poll(&mut cluster, staying[0], 1);
+    cluster.run(MAX_WAIT.into());
+
+    // then: edges are informed again as soon as the announcement has expired
+    assert_isolated(&response(&cluster, staying[0], meanwhile));
+    let is_informed = (0..30).any(|_| {
+        cluster.run(100);
+        let call = poll(&mut cluster, staying[0], 1);
+        cluster.run(MAX_WAIT.into());
+        !response(&cluster, staying[0], call).isolated
+    });
+    assert!(is_informed);
+    let change = cluster.replace_config(staying[0], 1, &configuration(2, "b.example"));
+    let is_done = cluster.run_until(2_000, |cluster| is_done(cluster.operator_response(staying[0], change)));
+    assert!(is_done);
+}
--- a/simulation/src/fleet.rs
+++ b/simulation/src/fleet.rs
@@ -41,7 +41,7 @@
 /// `drainMs`, in milliseconds.
 pub(crate) const DRAIN: Millis = 2_000;
 /// `leaseMs`, in milliseconds.
-pub(crate) const LEASE: Millis = 3_000;
+const LEASE: Millis = 3_000;
 /// `originWindowS`, in milliseconds.
 pub(crate) const ORIGIN_WINDOW: Millis = 5_000;
 /// `originOvershoot`: factor on the rate limit of the weight store.
@@ -60,6 +60,8 @@
     pub web_servers: u8,
     /// Machines that may fail at once (`hostsLost`).
     pub hosts_lost: u32,
+    /// Time between the orders of two holders (`leaseMs`), in milliseconds.
+    pub order_lease: Millis,
     /// Interval of a server's heartbeats, in milliseconds.
     pub heartbeat: Millis,
     /// Latency of a write with its sync on the coordinators' disks, in milliseconds.
@@ -78,6 +80,7 @@
             initial_models: vec![vec![0, 1], vec![0, 2]],
             web_servers: 2,
             hosts_lost: 1,
+            order_lease: LEASE,
             heartbeat: 1_200,
             disk_latency: 0..=2,
             models: Models::default(),
@@ -251,7 +254,7 @@
         let text = format!(
             "nodeName=node-{node}\nip={node}\nzone=a\nephemeralPorts=7660,7675\nseedNodes={}\nbootstrap={}\n\
              countsForQuorum={}\nheartbeatMs={}\nfaultTolerance.hostsLost={}\nbounds.drainMs={DRAIN}\n\
-             bounds.convergenceMs={CONVERGENCE}\nbounds.leaseMs={LEASE}\nbounds.originWindowS={}\n\
+             bounds.convergenceMs={CONVERGENCE}\nbounds.leaseMs={}\nbounds.originWindowS={}\n\
              bounds.originOvershoot={ORIGIN_OVERSHOOT}\nbounds.retryRatio={RETRY_RATIO}\nbounds.retrySlack={RETRY_SLACK}\n\
              bounds.retryWindowS={}\n",
             seeds.join(","),
@@ -259,6 +262,7 @@
             self.disks.contains_key(&node),
             self.options.heartbeat,
             self.options.hosts_lost,
+            self.options.order_lease,
             ORIGIN_WINDOW / 1_000,
             RETRY_WINDOW / 1_000,
         );
--- a/simulation/src/fleet/report.rs
+++ b/simulation/src/fleet/report.rs
@@ -5,7 +5,7 @@
 use shaletrail_protocol::{Millis, NodeId};
 
 use super::{
-    Fleet, Process, CONVERGENCE, DRAIN, LEASE, ORIGIN_OVERSHOOT, ORIGIN_WINDOW, RETRY_RATIO, RETRY_SLACK,
+    Fleet, Process, CONVERGENCE, DRAIN, ORIGIN_OVERSHOOT, ORIGIN_WINDOW, RETRY_RATIO, RETRY_SLACK,
     RETRY_WINDOW,
 };
 use crate::fixtures;
@@ -21,7 +21,7 @@
             retry_ratio: RETRY_RATIO,
             retry_slack: RETRY_SLACK,
             drain: DRAIN,
-            lease: LEASE,
+            lease: self.options.order_lease,
             origin_window: ORIGIN_WINDOW,
             origin_overshoot: ORIGIN_OVERSHOOT,
             load_per_s: self.options.models.load_per_s,
--- a/simulation/tests/order_leases.rs
+++ b/simulation/tests/order_leases.rs
@@ -11,6 +11,8 @@
 use shaletrail_simulation::{Fleet, FleetOptions};
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
+/// An order lease that is longer than an election, a restart and the first heartbeats and reports after it together.
+const LONG_LEASE: Millis = 9_000;
 /// Number of models of the default fixtures.
 const MODELS: usize = 6;
 
@@ -118,8 +120,16 @@
 #[test]
 fn reelected_lease_holder_waits_again() {
     for seed in SEEDS {
-        // given: the first lease holder has just sent orders, and another one has acquired the lease
-        let mut fleet = ready_with_budget(seed);
+        // given: the first lease holder has just sent orders, and another one has acquired the lease. The lease is so long
+        // that it outlasts that one's restart and its first report of the server.
+        let options = FleetOptions {
+            initial_models: vec![vec![0, 1]],
+            order_lease: LONG_LEASE,
+            seed,
+            ..FleetOptions::default()
+        };
+        let mut fleet = Fleet::ready(options);
+        fleet.run(10_000);
         let first = order_lease_holder(&fleet);
         request_continuously(&mut fleet, 2_000);
         fleet.lose_power(first);
@@ -130,7 +140,7 @@
         // when
         fleet.kill(second);
         fleet.start(second);
-        request_continuously(&mut fleet, 9_000);
+        request_continuously(&mut fleet, LONG_LEASE + 6_000);
 
         // then
         let later = fleet.world.observer.orders.iter().filter(|order| order.from != first).count();
