--- a/consensus/tests/catching_up.rs
+++ b/consensus/tests/catching_up.rs
@@ -135,6 +135,30 @@
     assert!(group.invariants.is_acknowledged(index), "{}", group.describe());
 }
 
+#[test]
+fn held_proposals_go_on_once_the_voter_has_caught_up() {
+    // given: one entry at a time goes to the follower
+    let (mut group, leader, behind) = with_slow_follower_behind(3, 7, |options| {
+        retains_ten_entries_for_catching_up(options);
+        options.max_append_bytes = 1;
+        options.max_in_flight_messages = 1;
+    });
+    while change_and_compact(&mut group, leader) {
+        assert!(group.now < 30_000, "no proposal was ever held: {}", group.describe());
+    }
+    // when: the first proposal is accepted again
+    let mut is_caught_up = false;
+    while group.propose(leader).is_none() {
+        group.run(CHANGE_INTERVAL_MS);
+        group.machine(leader).compact();
+        let matched = group.replica(leader).peer_status(behind).map(|peer| peer.matched);
+        is_caught_up = matched >= Some(group.replica(leader).snapshot_index());
+        assert!(group.now < 60_000, "proposals are held for ever: {}", group.describe());
+    }
+    // then: not just as far behind as the bound allows
+    assert!(is_caught_up, "{}", group.describe());
+}
+
 #[test]
 fn larger_quorum_does_not_wait_for_lagging_voter() {
     // given
--- a/coordinator/src/core/shutdown.rs
+++ b/coordinator/src/core/shutdown.rs
@@ -23,7 +23,10 @@
             self.membership.alive().into_iter().filter(|other| *other != node).collect();
         self.shards.numbers().filter_map(|shard| self.shards.get(shard)).any(|shard| {
             let voters = shard.replica.voters();
-            voters.contains(node) && others.iter().any(|other| !voters.contains(*other))
+            let may_be_replaced =
+                voters.contains(node) && others.iter().any(|other| !voters.contains(*other));
+            // Until the exchange is committed the former voters decide as well, this one among them.
+            may_be_replaced || (shard.replica.is_changing_voters() && !others.is_empty())
         })
     }
 }
--- a/simulation/tests/disks.rs
+++ b/simulation/tests/disks.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{assert_in_service, ready, ACKNOWLEDGED_WITHIN};
+use shaletrail_simulation::{Fleet, FleetOptions};
 use shaletrail_storage::fault_injection::Faults;
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
@@ -121,3 +122,57 @@
     assert_in_service(&mut fleet);
     fleet.check();
 }
+
+#[test]
+fn group_is_founded_without_a_seed_whose_disk_is_full() {
+    for seed in SEEDS {
+        // given
+        let mut fleet = Fleet::new(FleetOptions { seed, ..FleetOptions::default() });
+        let full = fleet.coordinators()[(seed % 3) as usize];
+        fleet.set_disk_faults(full, FULL);
+
+        // when
+        let nodes: Vec<_> = fleet.coordinators().into_iter().chain(fleet.edges()).collect();
+        nodes.iter().for_each(|node| fleet.start(*node));
+        fleet.start_servers();
+
+        // then
+        assert_in_service(&mut fleet);
+        fleet.set_disk_faults(full, Faults::default());
+        fleet.run(6_000);
+        let lost = common::others(&fleet, full)[0];
+        fleet.lose_power(lost);
+        assert_in_service(&mut fleet);
+        fleet.check();
+    }
+}
+
+#[test]
+fn install_on_a_full_disk_is_finished_once_there_is_room() {
+    for seed in SEEDS {
+        // given: a follower that needs a snapshot, and has no room for it
+        let mut fleet = ready(seed);
+        let leader = fleet.await_leader();
+        let behind = common::others(&fleet, leader)[0];
+        fleet.lose_power(behind);
+        for _ in 0..40 {
+            fleet.replace_within(ACKNOWLEDGED_WITHIN);
+        }
+        fleet.set_disk_faults(behind, FULL);
+        fleet.start(behind);
+
+        // when: the others go on meanwhile
+        for _ in 0..10 {
+            fleet.replace_within(ACKNOWLEDGED_WITHIN);
+            fleet.run(300);
+        }
+        fleet.set_disk_faults(behind, Faults::default());
+        fleet.run(4_000);
+
+        // then: it counts again, and the next loss is borne
+        let third = common::others(&fleet, behind).into_iter().find(|node| Some(*node) != fleet.leader());
+        fleet.lose_power(third.expect("another follower"));
+        assert_in_service(&mut fleet);
+        fleet.check();
+    }
+}
