--- a/cluster/tests/membership.rs
+++ b/cluster/tests/membership.rs
@@ -478,3 +478,25 @@
     fleet.run(1_500);
     assert_all_alive(&fleet);
 }
+
+#[test]
+fn member_evicted_for_room_is_reported_as_changed() {
+    // given: a full table, one member of which is dead
+    let mut membership = single_member(&[]);
+    for number in 0..2 * MAX_MEMBERS as u32 {
+        let node = NodeId(1000 + number);
+        membership.receive(0, node, ping(vec![member(node, 1, 0, MemberState::Alive)]));
+    }
+    let known: Vec<NodeId> = membership.alive().into_iter().filter(|node| *node != OWN).collect();
+    let (gone, witness) = (known[0], known[1]);
+    membership.receive(10, witness, ping(vec![member(gone, 1, 0, MemberState::Dead)]));
+    assert_eq!(membership.state(gone), Some(MemberState::Dead));
+    membership.take_changed();
+    // when
+    let joining = NodeId(9000);
+    membership.receive(20, joining, ping(vec![member(joining, 1, 0, MemberState::Alive)]));
+    // then
+    assert_eq!(membership.state(gone), None);
+    let changed = membership.take_changed();
+    assert!(changed.contains(&gone) && changed.contains(&joining), "{changed:?}");
+}
--- a/coordinator/tests/voters.rs
+++ b/coordinator/tests/voters.rs
@@ -476,3 +476,26 @@
         }
     }
 }
+
+#[test]
+fn coordinator_leads_again_once_its_disk_has_recovered() {
+    // given: two of three are there, and the leader's disk was degraded for a moment
+    let mut cluster = SimulatedCluster::bootstrapped(1, 3);
+    let former = cluster.leader_of(CONFIGURATION).expect("a leader");
+    let running = cluster.running();
+    let others = cluster.rotate_without(&running, &[former]);
+    cluster.lose_power(others[0]);
+    cluster.handle(former, Event::DiskDegraded { wants_checkpoint: false });
+    cluster.run(2_500);
+    assert_eq!(cluster.leader_of(CONFIGURATION), Some(others[1]), "{}", cluster.describe());
+
+    // when: the other one's disk is degraded
+    for _ in 0..30 {
+        cluster.handle(others[1], Event::DiskDegraded { wants_checkpoint: false });
+        cluster.run(100);
+    }
+
+    // then
+    assert_eq!(cluster.leader_of(CONFIGURATION), Some(former), "{}", cluster.describe());
+    cluster.commit_change();
+}
--- a/placement/tests/scarce_capacity.rs
+++ b/placement/tests/scarce_capacity.rs
@@ -5,6 +5,7 @@
 use common::scenario::{catalogue, demand, waiting, Scenario};
 use shaletrail_placement::{Catalogue, OrderOutcome};
 use shaletrail_protocol::internal::Demand;
+use shaletrail_protocol::NodeId;
 
 /// Tokens by which one report raises a model's demand to eight replicas at target utilisation.
 const TOKENS_OF_EIGHT: u64 = 235_000;
@@ -102,3 +103,18 @@
     let orders = scenario.next_orders();
     assert_eq!(orders, [format!("s1 load {evicted} at 1")]);
 }
+
+#[test]
+fn most_urgent_report_decides_the_priority_of_a_model() {
+    // given: one free place
+    let mut scenario = Scenario::new(3, &[&["m0"]]);
+    let report = |edge, demand: Demand, scenario: &mut Scenario| {
+        scenario.planner.record_demand(scenario.now, NodeId(edge), &[demand]);
+    };
+    // when: the last report of a model is the least urgent one
+    report(11, Demand { priority: 0, ..waiting("m1") }, &mut scenario);
+    report(12, Demand { priority: 7, ..waiting("m1") }, &mut scenario);
+    report(13, Demand { priority: 3, queued: 9, ..waiting("m2") }, &mut scenario);
+    // then
+    assert_eq!(scenario.next_orders(), ["s0 load m1 at 0"]);
+}
