--- a/coordinator/src/core/demand/edges.rs
+++ b/coordinator/src/core/demand/edges.rs
@@ -85,7 +85,8 @@
         all.into_iter().take(MAX_EDGES).collect()
     }
 
-    /// Number of edges among which the retry budget is divided: all that may have spent their shares within its window. 0, for unknown, until this coordinator has known the others' edges for the whole window.
+    /// Number of edges among which the retry budget is divided: all that may have spent their shares within its window.
+    /// 0, for unknown, until this coordinator has known the others' edges for the whole window.
     pub fn retry_budget_shares(&self, now: Millis) -> u32 {
         if now < self.complete_since + self.retry_window {
             return 0;
--- a/dataplane/tests/common/http.rs
+++ b/dataplane/tests/common/http.rs
@@ -64,6 +64,17 @@
         self.write(&request).await;
     }
 
+    /// Sends requests without bodies in one write, before any of them is answered.
+    pub async fn pipeline(&mut self, path: &str, attempt_ids: &[&str]) {
+        let request = |id: &&str| {
+            format!(
+                "POST {path} HTTP/1.1\r\nhost: a.example\r\nattempt-id: {id}\r\ncontent-length: 0\r\n\r\n"
+            )
+        };
+        let requests: String = attempt_ids.iter().map(request).collect();
+        self.write(&requests).await;
+    }
+
     /// Answers a request with a complete success.
     pub async fn respond(&mut self, request: &Message, body: &str) {
         let length = body.len();
--- a/dataplane/tests/connections.rs
+++ b/dataplane/tests/connections.rs
@@ -245,10 +245,7 @@
         let server = Server::start("i-1").await;
         let edge = Edge::with(&configuration(&[route("r", "/x/", "non_idempotent")]), &[&server]).await;
         let mut client = edge.connect().await;
-        let request = |id: &str| {
-            format!("POST /x/ HTTP/1.1\r\nhost: a.example\r\nattempt-id: {id}\r\ncontent-length: 0\r\n\r\n")
-        };
-        client.write(&format!("{}{}", request("t1"), request("t2"))).await;
+        client.pipeline("/x/", &["t1", "t2"]).await;
         let (mut upstream, first) = server.accept_request().await;
         assert_eq!(first.header("attempt-id"), Some("t1"));
 
@@ -270,10 +267,7 @@
         let server = Server::start("i-1").await;
         let edge = Edge::with(&configuration(&[route("r", "/x/", "non_idempotent")]), &[&server]).await;
         let mut client = edge.connect().await;
-        let request = |id: &str| {
-            format!("POST /x/ HTTP/1.1\r\nhost: a.example\r\nattempt-id: {id}\r\ncontent-length: 0\r\n\r\n")
-        };
-        client.write(&format!("{}{}", request("t1"), request("t2"))).await;
+        client.pipeline("/x/", &["t1", "t2"]).await;
         let (mut upstream, first) = server.accept_request().await;
 
         // when: the client leaves at the moment of the response
--- a/dataplane/tests/responses.rs
+++ b/dataplane/tests/responses.rs
@@ -340,10 +340,7 @@
         let (_edge, mut client) = edge_with_one(&server).await;
 
         // when
-        let request = |id: &str| {
-            format!("POST /x/ HTTP/1.1\r\nhost: a.example\r\nattempt-id: {id}\r\ncontent-length: 0\r\n\r\n")
-        };
-        client.write(&format!("{}{}", request("t1"), request("t2"))).await;
+        client.pipeline("/x/", &["t1", "t2"]).await;
         let (mut upstream, first) = server.accept_request().await;
         assert!(!server.is_contacted().await);
         upstream.respond(&first, "one").await;
