--- a/review/1/case.py
+++ b/review/1/case.py
@@ -64,6 +64,9 @@
     return form(read) == form(sent)
 
 
+verdict = []        # (exit code, text), once it is known
+
+
 async def play(record):
     deployment = Deployment(record, cores=3, edges=2, hosts_lost=1)
     operator = Operator(deployment.core_ips, record)
@@ -109,6 +112,7 @@
                 broken = f"version {read['version']} differs from what was sent"
             else:
                 version = read["version"]
+        verdict.append((1, broken) if broken else (0, f"the configuration was read back after each of {rounds} rounds"))
         # What follows is only recorded; the verdict stands.
         record("for the record: a server says that it is leaving")
         server.state = "draining"
@@ -128,7 +132,7 @@
             read = await operator.read(7.0)
             record(f"for the record: read back after that: {read['version'] if read else 'nothing came in 7 s'}")
         await server.stop()
-        return (1, broken) if broken else (0, f"the configuration was read back after each of {rounds} rounds")
+        return verdict[0]
     finally:
         deployment.end()
 
@@ -138,7 +142,7 @@
     try:
         code, text = asyncio.run(asyncio.wait_for(play(record), 118))
     except Exception as error:
-        code, text = 2, f"{type(error).__name__}: {error}"
+        code, text = verdict[0] if verdict else (2, f"{type(error).__name__}: {error}")
     record(f"exit {code}: {text}")
     print(text)
     sys.exit(code)
