--- a/capacity-emulator/src/coordinator_node.rs
+++ b/capacity-emulator/src/coordinator_node.rs
@@ -124,6 +124,7 @@
             seeds: environment.seeds(),
             bootstrap,
             journal_was_erased: false,
+            checkpoint_bytes: shaletrail_storage::Options::default().checkpoint_bytes(),
             tolerated_host_losses: environment.options.tolerated_host_losses,
             heartbeat_interval: Duration::from_millis(environment.options.heartbeat_ms),
             order_lease: ORDER_LEASE_DURATION,
--- a/consensus/src/apply.rs
+++ b/consensus/src/apply.rs
@@ -27,14 +27,21 @@
 
     /// All state that has to be kept, for a checkpoint that replaces every earlier record, including records that are
     /// still being synced. Records of tickets that are not synced yet may be written again after the checkpoint.
+    ///
+    /// The entries are divided among records of up to [`Options::max_append_bytes`](crate::Options::max_append_bytes),
+    /// because the whole log may exceed the maximum size of a stored record.
     pub fn records(&self) -> Vec<Record> {
         let mut records = vec![Record::HardState(self.hard_state.clone())];
         records.extend(self.log.snapshot().cloned().map(Record::Snapshot));
-        let entries = self.log.batch(self.log.snapshot_index() + 1, usize::MAX, false);
-        if !entries.is_empty() {
+        let mut next = self.log.snapshot_index() + 1;
+        loop {
+            let entries = self.log.batch(next, self.options.max_append_bytes, true);
+            if entries.is_empty() {
+                return records;
+            }
+            next += entries.len() as Index;
             records.push(Record::Entries(entries));
         }
-        records
     }
 
     /// Installs a snapshot that is ahead of the state machine. The log counts as not synced until the snapshot is
--- a/consensus/tests/persistence.rs
+++ b/consensus/tests/persistence.rs
@@ -237,6 +237,54 @@
     assert_eq!(restored(replica.records()).records(), replica.records());
 }
 
+/// Guards against a checkpoint that no journal accepts: all entries stood in one record, which was longer than the
+/// journal allows.
+#[test]
+fn records_of_entries_stay_within_append_limit() {
+    // given: a small and a large entry by turns
+    let limit = 10_000;
+    let large = |index| Payload::Command(vec![index as u8; 4_000].into());
+    let entries: Vec<Entry> =
+        (2..=21)
+            .map(|index| {
+                if index % 2 == 0 {
+                    entry(index, 1)
+                } else {
+                    Entry { index, term: 1, payload: large(index) }
+                }
+            })
+            .collect();
+    let options = Options { max_append_bytes: limit, ..Options::new(node(1), 1) };
+    let stored = vec![hard_state_record(1), snapshot(1, 1), Record::Entries(entries.clone())];
+    let replica = Replica::new(options, stored, 0);
+
+    // when
+    let records = replica.records();
+
+    // then
+    let batches: Vec<&Vec<Entry>> = records
+        .iter()
+        .filter_map(|record| match record {
+            Record::Entries(batch) => Some(batch),
+            _ => None,
+        })
+        .collect();
+    assert!(batches.iter().all(|batch| batch.iter().map(Entry::size).sum::<usize>() <= limit));
+    assert_eq!(batches.into_iter().flatten().cloned().collect::<Vec<_>>(), entries);
+    assert_eq!(restored(records).last_position(), replica.last_position());
+}
+
+/// An entry that exceeds the limit by itself still has a record.
+#[test]
+fn entry_above_append_limit_has_a_record_of_its_own() {
+    let entries: Vec<Entry> = (2..=5).map(|index| entry(index, 1)).collect();
+    let options = Options { max_append_bytes: 1, ..Options::new(node(1), 1) };
+    let stored = vec![hard_state_record(1), snapshot(1, 1), Record::Entries(entries.clone())];
+    let records = Replica::new(options, stored, 0).records();
+    let singles: Vec<Record> = entries.into_iter().map(|entry| Record::Entries(vec![entry])).collect();
+    assert_eq!(records[2..], singles);
+}
+
 #[test]
 fn restore_ignores_entries_below_snapshot() {
     let entries = |from: u64, to: u64| Record::Entries((from..=to).map(|index| entry(index, 1)).collect());
--- a/coordinator/src/core/directory_snapshot.rs
+++ b/coordinator/src/core/directory_snapshot.rs
@@ -7,7 +7,7 @@
 //! change as a separate record, and are acknowledged only after that record is synced.
 
 use shaletrail_cluster::Directory;
-use shaletrail_protocol::internal::{DirectoryCursor, ServerRecord};
+use shaletrail_protocol::internal::{DirectoryCursor, Presence, ServerRecord};
 use shaletrail_protocol::Millis;
 use shaletrail_storage::StoredRecord;
 
@@ -15,6 +15,12 @@
 pub const STREAM: u32 = 1_000;
 /// The journal stream of servers that have begun to leave since the newest snapshot.
 pub const LEAVING_STREAM: u32 = 1_001;
+/// Maximum size of a snapshot of the directory, in bytes. Of a larger directory, a part is written.
+const MAX_SNAPSHOT_BYTES: usize = 3 << 20;
+/// Once the servers that have begun to leave since the newest snapshot take up this many bytes, a snapshot is due.
+const MAX_LEAVING_BYTES: usize = 1 << 20;
+/// Maximum size of everything that the directory stores, in bytes.
+pub const MAX_DIRECTORY_BYTES: usize = MAX_SNAPSHOT_BYTES + MAX_LEAVING_BYTES;
 /// Minimum time between snapshots of a directory of up to [`SERVERS_PER_INTERVAL`] servers.
 const SNAPSHOT_INTERVAL: Millis = 1_000;
 /// Each time the directory contains this many more servers, the minimum time grows by another [`SNAPSHOT_INTERVAL`], so
@@ -60,14 +66,16 @@
 
     /// Returns the encoded snapshot to write now, if one is due and the directory has changed.
     pub fn take_due(&mut self, now: Millis, directory: &Directory) -> Option<Vec<u8>> {
-        if now < self.next_due || directory.cursor() == self.saved {
+        let leaving_bytes: usize = self.leaving.iter().map(Vec::len).sum();
+        let is_due = now >= self.next_due || leaving_bytes > MAX_LEAVING_BYTES;
+        if !is_due || directory.cursor() == self.saved {
             return None;
         }
         self.saved = directory.cursor();
         let records: Vec<ServerRecord> = directory.records().cloned().collect();
         let intervals = 1 + records.len() / SERVERS_PER_INTERVAL;
         self.next_due = now + SNAPSHOT_INTERVAL * intervals as Millis;
-        self.newest = bitcode::encode(&records);
+        self.newest = encode_snapshot(records);
         self.leaving.clear();
         Some(self.newest.clone())
     }
@@ -80,3 +88,18 @@
         snapshot.into_iter().chain(leaving).collect()
     }
 }
+
+/// Encodes as many records as fit into [`MAX_SNAPSHOT_BYTES`]. Servers that leave come first: they have been told that
+/// their departure is stored, while the others are known again from their next heartbeats.
+fn encode_snapshot(mut records: Vec<ServerRecord>) -> Vec<u8> {
+    let mut encoded = bitcode::encode(&records);
+    if encoded.len() > MAX_SNAPSHOT_BYTES {
+        records.sort_by_key(|record| !matches!(record.presence, Presence::Draining | Presence::Removed));
+    }
+    while encoded.len() > MAX_SNAPSHOT_BYTES {
+        let fitting = records.len() * MAX_SNAPSHOT_BYTES / encoded.len();
+        records.truncate(fitting.min(records.len() - 1));
+        encoded = bitcode::encode(&records);
+    }
+    encoded
+}
--- a/coordinator/src/core/shards.rs
+++ b/coordinator/src/core/shards.rs
@@ -1,6 +1,7 @@
 //! This node's replicas of all shards, their state machines, and the persistence of their records.
 
 mod event;
+pub mod limits;
 mod recovery;
 mod shard;
 mod state_machine;
--- a/coordinator/src/core/shards/recovery.rs
+++ b/coordinator/src/core/shards/recovery.rs
@@ -4,6 +4,7 @@
 use shaletrail_protocol::Millis;
 use shaletrail_storage::StoredRecord;
 
+use super::limits::max_uncommitted_bytes;
 use super::shard::Shard;
 use super::state_machine::StateMachine;
 use super::SERVICE_SHARDS;
@@ -37,7 +38,9 @@
         }
         let recovering = !options.bootstrap || options.journal_was_erased || is_unreadable;
         let seed = options.seed.wrapping_add(u64::from(shard));
-        let replica_options = Options { recovering, ..Options::new(options.node, seed) };
+        let max_uncommitted_bytes = max_uncommitted_bytes(shard, options.checkpoint_bytes);
+        let defaults = Options::new(options.node, seed);
+        let replica_options = Options { recovering, max_uncommitted_bytes, ..defaults };
         let mut replica = Replica::new(replica_options, records, now);
         if options.bootstrap && options.seeds.contains(&options.node) {
             replica.bootstrap(now, &options.seeds);
--- a/coordinator/src/core/shards/shard.rs
+++ b/coordinator/src/core/shards/shard.rs
@@ -3,13 +3,12 @@
 use shaletrail_consensus::{Entry, Payload, Replica};
 use shaletrail_protocol::Millis;
 
+use super::limits::COMPACT_BYTES;
 use super::state_machine::StateMachine;
 use super::ShardEvent;
 
 /// Number of applied entries after which the log is compacted into a snapshot, if the snapshot is large.
 const COMPACT_ENTRIES: u64 = 128;
-/// Bytes of applied commands after which the log is compacted into a snapshot, if the snapshot is large.
-const COMPACT_BYTES: usize = 2 << 20;
 /// If the last snapshot was no larger than this, a new one is taken after each command. A node that restarts then has
 /// the state that it had applied, even before a leader tells it the commit index.
 const SMALL_SNAPSHOT_BYTES: usize = 96 << 10;
--- a/coordinator/src/interface.rs
+++ b/coordinator/src/interface.rs
@@ -35,6 +35,8 @@
     /// Whether this node's journal was corrupt and has been erased. A shard without records then starts as a recovering
     /// voter, even during the bootstrap.
     pub journal_was_erased: bool,
+    /// Size of a checkpoint that always fits into this node's journal, in bytes.
+    pub checkpoint_bytes: usize,
     /// Number of coordinators that may be lost at once; `2 * tolerated_host_losses + 1` of them vote.
     pub tolerated_host_losses: u32,
     /// Interval between consecutive heartbeats of a server.
@@ -52,6 +54,7 @@
 impl CoordinatorOptions {
     /// Derives the options from the settings. The journal counts as not erased.
     pub fn from_settings(settings: &Settings, incarnation: Incarnation) -> Self {
+        let journal_options = shaletrail_storage::Options::for_disk(settings.limits.disk_mb);
         CoordinatorOptions {
             node: settings.node(),
             node_name: settings.node_name.clone(),
@@ -59,6 +62,7 @@
             seeds: settings.seeds.iter().map(|seed| NodeId::from(*seed.ip())).collect(),
             bootstrap: settings.bootstrap,
             journal_was_erased: false,
+            checkpoint_bytes: journal_options.checkpoint_bytes(),
             tolerated_host_losses: settings.tolerated_host_losses,
             heartbeat_interval: settings.heartbeat_interval,
             order_lease: settings.bounds.lease,
--- a/coordinator/tests/common/mod.rs
+++ b/coordinator/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a different part")]
 
 pub mod cluster;
+pub mod journal_disk;
 pub mod responses;
 pub mod simulated_cluster;
 pub mod single;
--- a/coordinator/tests/common/simulated_cluster.rs
+++ b/coordinator/tests/common/simulated_cluster.rs
@@ -3,13 +3,14 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use shaletrail_consensus::{Record, Replica};
+use shaletrail_consensus::{Entry, Options, Payload, Record, Replica};
 use shaletrail_coordinator::core::Coordinator;
 use shaletrail_coordinator::interface::{Action, CallId, CoordinatorOptions, Event};
 use shaletrail_protocol::internal::{CoordinatorMessage, OperatorCall, OperatorResponse};
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
 use shaletrail_storage::StoredRecord;
 
+use super::journal_disk::JournalDisk;
 use super::{configuration, coordinator_options, node, replace_call, stored, START, TICK};
 
 /// Step width of the simulated clock.
@@ -32,6 +33,12 @@
     due: Millis,
 }
 
+/// A write to the real journal of a machine that has one.
+enum JournalWrite {
+    Append { ticket: u64, records: Vec<(u32, Vec<u8>)> },
+    Checkpoint { live: Vec<(u32, Vec<u8>)> },
+}
+
 /// A machine with its disk and, if it is running, its process.
 pub struct Machine {
     core: Option<Coordinator>,
@@ -40,6 +47,12 @@
     /// Whether the journal was corrupt and has been erased.
     was_erased: bool,
     pending_syncs: VecDeque<PendingSync>,
+    /// The real journal, which then replaces `synced` and `pending_syncs`; `None` for a disk without limits.
+    journal: Option<JournalDisk>,
+    /// Writes to the real journal, oldest first.
+    journal_writes: VecDeque<JournalWrite>,
+    /// Whether no write to the real journal is executed.
+    is_stalled: bool,
     clock_offset: Millis,
     /// [`Millis::MAX`] after the process was requested to shut down.
     next_tick: Millis,
@@ -68,6 +81,8 @@
     /// The newest configuration version that was acknowledged to the operator.
     acknowledged_version: u64,
     hosts_lost: usize,
+    /// Whether the machines have real journals.
+    has_journals: bool,
     /// Sorted by the time of delivery, then by the order of sending.
     in_flight: BTreeMap<(Millis, u64), Envelope>,
     responses: BTreeMap<CallId, OperatorResponse>,
@@ -82,7 +97,17 @@
     /// Bootstraps machines 1 to `2 * hosts_lost + 1`, which start in a random order with the first three as seeds,
     /// until all are voters and a first configuration is acknowledged.
     pub fn bootstrapped(hosts_lost: usize, seed: u64) -> SimulatedCluster {
-        let mut cluster = SimulatedCluster::empty(hosts_lost, seed);
+        SimulatedCluster::empty(hosts_lost, seed).bootstrap()
+    }
+
+    /// Like [`SimulatedCluster::bootstrapped`], with a real journal on the disk of each machine.
+    pub fn bootstrapped_with_journals(hosts_lost: usize, seed: u64) -> SimulatedCluster {
+        SimulatedCluster { has_journals: true, ..SimulatedCluster::empty(hosts_lost, seed) }.bootstrap()
+    }
+
+    fn bootstrap(self) -> SimulatedCluster {
+        let mut cluster = self;
+        let hosts_lost = cluster.hosts_lost;
         let voters: Vec<NodeId> = (1..=2 * hosts_lost as u8 + 1).map(node).collect();
         let mut starting = voters.clone();
         while !starting.is_empty() {
@@ -108,6 +133,7 @@
             delivery_filter: None,
             acknowledged_version: 0,
             hosts_lost,
+            has_journals: false,
             in_flight: BTreeMap::new(),
             responses: BTreeMap::new(),
             server_responses: BTreeMap::new(),
@@ -143,12 +169,16 @@
     /// Adds a machine with an empty disk that is not started yet.
     fn add(&mut self, node: NodeId, seeds: &[NodeId]) {
         let clock_offset = self.random_below(1_000_000);
+        let journal = self.has_journals.then(|| JournalDisk::new(clock_offset));
         let machine = Machine {
             core: None,
             seeds: seeds.to_vec(),
             synced: Vec::new(),
             was_erased: false,
             pending_syncs: VecDeque::new(),
+            journal,
+            journal_writes: VecDeque::new(),
+            is_stalled: false,
             clock_offset,
             next_tick: 0,
             sync_ms: SYNC_MS,
@@ -194,10 +224,43 @@
         let first_tick = now + self.random_below(TICK);
         let machine = self.machine(node);
         machine.next_tick = first_tick;
-        machine.core = Some(Coordinator::new(options, machine.synced.clone(), now + machine.clock_offset));
+        let stored = machine.journal.as_mut().map_or_else(|| machine.synced.clone(), JournalDisk::reopen);
+        machine.core = Some(Coordinator::new(options, stored, now + machine.clock_offset));
+        let wants_checkpoint = machine.journal.as_ref().is_some_and(JournalDisk::wants_checkpoint);
+        if wants_checkpoint {
+            self.handle(node, Event::Persisted { ticket: 0, wants_checkpoint });
+        }
         self.handle(node, Event::Tick);
     }
 
+    /// Appends entries of this size to a shard's log on a machine's disk until its journal is full. The process must not
+    /// be running.
+    pub fn fill_journal(&mut self, node: NodeId, shard: u32, entry_bytes: usize) {
+        let journal = self.machine(node).journal.as_mut().expect("the machine has a journal");
+        let stored = journal.reopen().into_iter().filter(|record| record.stream == shard);
+        let records = stored.map(|record| Record::decode(&record.bytes).expect("the record is valid"));
+        let replica = Replica::new(Options::new(node, 1), records.collect(), 0);
+        let last = replica.last_position();
+        for index in last.index + 1.. {
+            let payload = Payload::Command(vec![0; entry_bytes].into());
+            let record = Record::Entries(vec![Entry { index, term: last.term, payload }]);
+            let event = journal.append(index, vec![(shard, record.encode())]);
+            if matches!(event, Event::DiskDegraded { .. }) {
+                return;
+            }
+        }
+    }
+
+    /// Stops executing the writes to a machine's real journal, or continues with them.
+    pub fn set_stalled(&mut self, node: NodeId, is_stalled: bool) {
+        self.machine(node).is_stalled = is_stalled;
+    }
+
+    /// Makes the disk under a machine's real journal reject every write, or accept writes again.
+    pub fn set_disk_full(&mut self, node: NodeId, full: bool) {
+        self.machine(node).journal.as_mut().expect("the machine has a journal").set_full(full);
+    }
+
     fn machine(&mut self, node: NodeId) -> &mut Machine {
         self.machines.get_mut(&node).expect("the machine exists")
     }
@@ -228,6 +291,7 @@
         let kept = self.random_below(4) as usize;
         let machine = self.machine(node);
         machine.core = None;
+        machine.journal_writes.clear();
         let unsynced = machine.pending_syncs.drain(..).take(kept);
         let kept: Vec<StoredRecord> = unsynced.flat_map(|pending| stored(pending.records)).collect();
         machine.synced.extend(kept);
@@ -312,6 +376,10 @@
     fn execute(&mut self, node: NodeId, action: Action) {
         match action {
             Action::Send { to, message } => self.send(node, to, message),
+            Action::Persist { ticket, records } if self.has_journals => {
+                self.machine(node).journal_writes.push_back(JournalWrite::Append { ticket, records });
+            }
+            Action::Checkpoint { live } if self.has_journals => self.queue_checkpoint(node, live),
             Action::Persist { ticket, records } => {
                 let sync_ms = self.machines[&node].sync_ms;
                 let due = self.now + 1 + self.random_below(sync_ms);
@@ -324,6 +392,34 @@
         }
     }
 
+    /// Queues a checkpoint of a real journal, unless one is queued already.
+    fn queue_checkpoint(&mut self, node: NodeId, live: Vec<(u32, Vec<u8>)>) {
+        let writes = &mut self.machine(node).journal_writes;
+        if !writes.iter().any(|write| matches!(write, JournalWrite::Checkpoint { .. })) {
+            writes.push_back(JournalWrite::Checkpoint { live });
+        }
+    }
+
+    /// Executes the queued writes to a machine's real journal, and retries a sync that has failed.
+    fn write_journal(&mut self, node: NodeId) {
+        if self.machines[&node].is_stalled {
+            return;
+        }
+        let queued = self.machines[&node].journal_writes.len();
+        for _ in 0..queued {
+            let machine = self.machine(node);
+            let Some(journal) = machine.journal.as_mut() else { return };
+            let event = match machine.journal_writes.pop_front() {
+                Some(JournalWrite::Append { ticket, records }) => Some(journal.append(ticket, records)),
+                Some(JournalWrite::Checkpoint { live }) => journal.checkpoint(&live),
+                None => None,
+            };
+            event.into_iter().for_each(|event| self.handle(node, event));
+        }
+        let retried = self.machine(node).journal.as_mut().and_then(JournalDisk::retry);
+        retried.into_iter().for_each(|event| self.handle(node, event));
+    }
+
     fn send(&mut self, from: NodeId, to: NodeId, message: CoordinatorMessage) {
         let passes =
             self.delivery_filter.as_mut().is_none_or(|is_delivered| is_delivered(from, to, &message));
@@ -361,6 +457,7 @@
             self.handle(to, Event::Message { from, message });
         }
         for node in self.running() {
+            self.write_journal(node);
             while let Some(ticket) = self.sync_one(node) {
                 self.handle(node, Event::Persisted { ticket, wants_checkpoint: false });
             }
@@ -427,18 +524,29 @@
         self.server_responses.remove(&call).unwrap_or(false)
     }
 
-    /// Sends a call of the operator to a node. Returns the response if it comes in time.
-    fn operator_call(&mut self, at: NodeId, request: &OperatorCall) -> Option<OperatorResponse> {
+    /// Sends a call of the operator to a node without waiting for the response.
+    pub fn send_operator_call(&mut self, at: NodeId, request: &OperatorCall) -> CallId {
         self.last_call += 1;
         let call = CallId(self.last_call);
         self.handle(at, Event::OperatorCall { call, request: request.clone() });
+        call
+    }
+
+    /// Returns the response to a call of the operator, if it has been answered.
+    pub fn operator_response(&self, call: CallId) -> Option<&OperatorResponse> {
+        self.responses.get(&call)
+    }
+
+    /// Sends a call of the operator to a node. Returns the response if it comes in time.
+    fn operator_call(&mut self, at: NodeId, request: &OperatorCall) -> Option<OperatorResponse> {
+        let call = self.send_operator_call(at, request);
         self.run_until(OPERATOR_TIMEOUT, |cluster| cluster.responses.contains_key(&call));
         self.responses.remove(&call)
     }
 
     /// Sends a call of the operator to one node after another until one succeeds or time is up. Returns the response
     /// body.
-    fn retry_operator_call(&mut self, request: &OperatorCall) -> Option<Vec<u8>> {
+    pub fn retry_operator_call(&mut self, request: &OperatorCall) -> Option<Vec<u8>> {
         let end = self.now + OPERATOR_RETRY_PERIOD;
         while self.now < end {
             for at in self.running() {
--- a/model-checker/src/order_leadership.rs
+++ b/model-checker/src/order_leadership.rs
@@ -12,6 +12,8 @@
 
 /// The coordinator's number for the service shard that the group replicates.
 const SERVICE_SHARD: u32 = 1;
+/// Size of a checkpoint that fits into a node's journal, in bytes.
+const CHECKPOINT_BYTES: usize = 32 << 20;
 
 /// A period in which this node leads.
 #[derive(Clone, Copy, Debug)]
@@ -65,6 +67,7 @@
         seeds: Vec::new(),
         bootstrap: false,
         journal_was_erased: false,
+        checkpoint_bytes: CHECKPOINT_BYTES,
         tolerated_host_losses: 1,
         heartbeat_interval: Duration::from_secs(1),
         order_lease: Duration::from_millis(ORDER_LEASE_MS),
--- a/storage/src/options.rs
+++ b/storage/src/options.rs
@@ -2,8 +2,10 @@
 
 use snafu::ensure;
 
+use crate::checkpoint;
 use crate::error::{InvalidOptionSnafu, StorageError};
 use crate::segment_header::PAGE_BYTES;
+use crate::segment_ring::checkpoint_limit;
 
 const MEBIBYTE: u64 = 1 << 20;
 /// One page for the header and three pages for records.
@@ -50,6 +52,12 @@
         Options { file_bytes, max_files, initial_files: default.initial_files.min(max_files), ..default }
     }
 
+    /// Returns the total size of records, in bytes, that a checkpoint always has room for, however many files of the ring
+    /// are in use.
+    pub fn checkpoint_bytes(&self) -> usize {
+        checkpoint::capacity(checkpoint_limit(self.max_files), self.file_bytes)
+    }
+
     /// Checks each size against its minimum.
     ///
     /// # Errors
--- a/storage/src/segment_ring.rs
+++ b/storage/src/segment_ring.rs
@@ -67,12 +67,17 @@
     pub max_files: usize,
 }
 
+/// Returns the number of segments that a checkpoint may use in a ring of up to `max_files` files. Beside a checkpoint of
+/// this size, the ring has room for as many live segments. If a failed checkpoint has left this many segments behind,
+/// one file is still free for the first segment of the next checkpoint, whose header frees the leftover segments.
+pub(crate) fn checkpoint_limit(max_files: usize) -> usize {
+    (max_files / 2).saturating_sub(1)
+}
+
 impl SegmentRing {
-    /// Returns the number of segments that a checkpoint may use. Beside a checkpoint of this size, the ring has room
-    /// for as many live segments. If a failed checkpoint has left this many segments behind, one file is still free for
-    /// the first segment of the next checkpoint, whose header frees the leftover segments.
+    /// Returns the number of segments that a checkpoint may use.
     pub fn checkpoint_limit(&self) -> usize {
-        (self.max_files / 2).saturating_sub(1)
+        checkpoint_limit(self.max_files)
     }
 
     /// Returns the number of segments that may be live while appends are accepted. Their content always fits into a
--- a/storage/tests/checkpoint.rs
+++ b/storage/tests/checkpoint.rs
@@ -119,6 +119,29 @@
     assert_eq!(payload_texts(&open(&disk).stored), ["a"]);
 }
 
+/// Guards against a journal that stays full for good, because its owner relies on more room than there is.
+#[test]
+fn checkpoint_of_stated_size_fits_into_a_full_ring() {
+    let options =
+        Options { max_record_bytes: 2 << 20, ..Options { file_bytes: 256 << 10, ..small_options() } };
+    for record_bytes in [3_000, 40_000, 256 << 10, 700_000] {
+        // given: appends are refused
+        let disk = MemoryDisk::new(1);
+        let mut journal = Journal::open(disk, &options).expect("the disk has no faults").journal;
+        while journal.sync().is_ok() {
+            journal.append(1, vec![7; record_bytes]).expect("the record is short enough");
+        }
+
+        // when
+        let bytes = options.checkpoint_bytes();
+        let mut live = vec![(1, vec![8; record_bytes]); bytes / record_bytes];
+        live.push((2, vec![9; bytes % record_bytes]));
+
+        // then
+        journal.checkpoint(&live).expect("the checkpoint fits");
+    }
+}
+
 #[test]
 fn checkpoint_survives_torn_write_to_a_recycled_file() {
     for seed in 0..60 {
