Answer changes whose outcome is final without a log entry, and propose without parsing

Cause: parsing such a change takes 64 ms, and the leader parsed every waiting change again at each event while its log was full, so that it missed heartbeats and lost its leadership. Copies that the operator sends again became entries of the log although another change had been applied meanwhile, and each replica parsed them once more to refuse them.

Change: the leader answers a change that was applied before, or whose base is below the applied version, like a read, after a quorum has confirmed its leadership. A proposal is encoded without parsing, and only if the log accepts it. A forwarded change is not parsed again, and an entry is parsed only if its outcome depends on its content.

--- a/configuration/src/change.rs
+++ b/configuration/src/change.rs
@@ -31,13 +31,31 @@
     }
 }
 
+/// Identifies a change without its content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ChangeId {
+    pub(crate) base_version: u64,
+    pub(crate) content_hash: ContentHash,
+}
+
+impl ChangeId {
+    /// Returns the identity of a call, without parsing its body.
+    pub fn of(kind: ChangeKind, base_version: u64, body: &[u8]) -> ChangeId {
+        ChangeId { base_version, content_hash: ContentHash::of(kind, base_version, body) }
+    }
+
+    /// Returns the version that the change is based on.
+    pub fn base_version(&self) -> u64 {
+        self.base_version
+    }
+}
+
 /// A change of the configuration, valid by itself but not yet checked against the current configuration.
 #[derive(Clone, Debug)]
 pub struct Change {
     pub(crate) kind: ChangeKind,
-    pub(crate) base_version: u64,
+    pub(crate) id: ChangeId,
     pub(crate) version: u64,
-    pub(crate) content_hash: ContentHash,
     pub(crate) sections: Vec<Section>,
     pub(crate) removals: Vec<Removal>,
     body: String,
@@ -45,12 +63,34 @@
 
 /// The encoding of a change in the log. It holds the call as it was received; decoding parses the body again.
 #[derive(Encode, Decode)]
-struct EncodedChange<'a> {
+pub(crate) struct EncodedChange<'a> {
     replace: bool,
     base_version: u64,
     body: &'a str,
 }
 
+impl<'a> EncodedChange<'a> {
+    /// Decodes a log entry that [`Change::encode`] produced. Does not parse the body.
+    pub(crate) fn decode(bytes: &'a [u8]) -> Result<EncodedChange<'a>, DecodeError> {
+        let decoded: Result<EncodedChange<'a>, _> = bitcode::decode(bytes);
+        decoded.or_else(|_| UndecodableSnafu { length: bytes.len(), expected: "a change" }.fail())
+    }
+
+    /// Returns the identity of the change.
+    pub(crate) fn id(&self) -> ChangeId {
+        ChangeId::of(self.kind(), self.base_version, self.body.as_bytes())
+    }
+
+    /// Parses the body. `id` is [`EncodedChange::id`].
+    pub(crate) fn parse(&self, id: ChangeId) -> Result<Change, DecodeError> {
+        Change::parse_body(self.kind(), id, self.body).context(InvalidContentSnafu)
+    }
+
+    fn kind(&self) -> ChangeKind {
+        ChangeKind::from_replace_flag(self.replace)
+    }
+}
+
 impl Change {
     /// Parses the body of a call. `base_version` is the value of the call's `Base-Version` header, the version that the
     /// change is based on.
@@ -61,13 +101,17 @@
     pub fn parse(kind: ChangeKind, base_version: u64, body: &[u8]) -> Result<Change, InvalidConfig> {
         let body = std::str::from_utf8(body);
         let body = body.map_err(|error| NotJsonSnafu { offset: error.valid_up_to() }.build())?;
-        Change::parse_text(kind, base_version, body)
+        Change::parse_body(kind, ChangeId::of(kind, base_version, body.as_bytes()), body)
     }
 
-    fn parse_text(kind: ChangeKind, base_version: u64, body: &str) -> Result<Change, InvalidConfig> {
+    fn parse_body(kind: ChangeKind, id: ChangeId, body: &str) -> Result<Change, InvalidConfig> {
         let ChangeBody { version, sections, removals } = ChangeBody::parse(kind, body)?;
-        let content_hash = ContentHash::of(kind, base_version, body.as_bytes());
-        Ok(Change { kind, base_version, version, content_hash, sections, removals, body: body.to_owned() })
+        Ok(Change { kind, id, version, sections, removals, body: body.to_owned() })
+    }
+
+    /// Returns the identity of the change.
+    pub fn id(&self) -> ChangeId {
+        self.id
     }
 
     /// Returns the version of the configuration after the change.
@@ -77,7 +121,7 @@
 
     /// Returns the version that the change is based on; it must be the current one when the change is applied.
     pub fn base_version(&self) -> u64 {
-        self.base_version
+        self.id.base_version
     }
 
     /// Returns the size of the call's body, in bytes.
@@ -89,18 +133,21 @@
     pub fn encode(&self) -> Vec<u8> {
         bitcode::encode(&EncodedChange {
             replace: self.kind.replaces_all(),
-            base_version: self.base_version,
+            base_version: self.id.base_version,
             body: &self.body,
         })
     }
 
+    /// Encodes a call as a log entry of the configuration shard, like [`encode`](Change::encode), without parsing its
+    /// body. `None` if the body is not UTF-8.
+    pub fn encode_call(kind: ChangeKind, base_version: u64, body: &[u8]) -> Option<Vec<u8>> {
+        let body = std::str::from_utf8(body).ok()?;
+        Some(bitcode::encode(&EncodedChange { replace: kind.replaces_all(), base_version, body }))
+    }
+
     /// Decodes a log entry that [`encode`](Change::encode) produced.
     pub fn decode(bytes: &[u8]) -> Result<Change, DecodeError> {
-        let decoded: Result<EncodedChange<'_>, _> = bitcode::decode(bytes);
-        let Ok(EncodedChange { replace, base_version, body }) = decoded else {
-            return UndecodableSnafu { length: bytes.len(), expected: "a change" }.fail();
-        };
-        let kind = ChangeKind::from_replace_flag(replace);
-        Change::parse_text(kind, base_version, body).context(InvalidContentSnafu)
+        let encoded = EncodedChange::decode(bytes)?;
+        encoded.parse(encoded.id())
     }
 }
--- a/configuration/src/lib.rs
+++ b/configuration/src/lib.rs
@@ -37,7 +37,7 @@
 mod state;
 mod view;
 
-pub use change::{Change, ChangeKind};
+pub use change::{Change, ChangeId, ChangeKind};
 pub use error::{DecodeError, InvalidConfig, ViewError};
 pub use schema::{ClientLimits, Model, Route, RouteKind, Runtime, Service, WeightedService};
 pub use state::{ChangeOutcome, ConfigState, MAX_CONFIGURATION_BYTES};
--- a/configuration/src/state.rs
+++ b/configuration/src/state.rs
@@ -4,7 +4,7 @@
 
 use shaletrail_protocol::internal::{ConfigUpdate, ItemKey};
 
-use crate::change::{Change, ChangeKind};
+use crate::change::{Change, ChangeId, ChangeKind, EncodedChange};
 use crate::change_log::{ChangeLog, ChangeLogEntry};
 use crate::dedup_window::{AppliedChange, DedupWindow};
 use crate::diff::ConfigDiff;
@@ -56,34 +56,56 @@
 impl ConfigState {
     /// Returns the outcome that a change would have if it were applied now.
     pub fn validate(&self, change: &Change) -> ChangeOutcome {
-        // A retry must be recognized first, because the version that it is based on is no longer the current one.
-        if self.dedup_window.contains(change.content_hash) {
-            return ChangeOutcome::Duplicate;
-        }
-        if self.dedup_window.may_have_evicted(change.base_version) {
-            return ChangeOutcome::Expired;
-        }
-        if change.base_version != self.version {
-            return ChangeOutcome::Conflict { current: self.version };
-        }
-        match self.check(change) {
-            Ok(()) => ChangeOutcome::Accepted,
-            Err(invalid) => ChangeOutcome::Invalid(invalid),
-        }
+        self.outcome_by_id(change.id).unwrap_or_else(|| self.outcome_by_content(change))
+    }
+
+    /// Returns the outcome of a change if no entry that is still to be applied can alter it: the change was applied, or
+    /// the version that it is based on is no longer the current one. Versions only increase, so that such a change is
+    /// never accepted later.
+    pub fn final_outcome(&self, id: ChangeId) -> Option<ChangeOutcome> {
+        self.outcome_by_id(id).filter(|_| id.base_version < self.version)
     }
 
-    /// Decodes a committed log entry ([`Change::encode`]), validates the change, and applies it if it is accepted.
+    /// Decodes a committed log entry ([`Change::encode`]), validates the change, and applies it if it is accepted. The
+    /// content is parsed only if the outcome depends on it.
     pub fn apply(&mut self, entry: &[u8]) -> ChangeOutcome {
-        let Ok(change) = Change::decode(entry) else {
+        let Ok(encoded) = EncodedChange::decode(entry) else {
+            return ChangeOutcome::Invalid(InvalidConfig::UndecodableEntry);
+        };
+        let id = encoded.id();
+        if let Some(outcome) = self.outcome_by_id(id) {
+            return outcome;
+        }
+        let Ok(change) = encoded.parse(id) else {
             return ChangeOutcome::Invalid(InvalidConfig::UndecodableEntry);
         };
-        let outcome = self.validate(&change);
+        let outcome = self.outcome_by_content(&change);
         if outcome == ChangeOutcome::Accepted {
             self.apply_accepted(change);
         }
         outcome
     }
 
+    /// Returns the outcome of a change that is not accepted whatever it contains; `None` if it depends on the content.
+    fn outcome_by_id(&self, id: ChangeId) -> Option<ChangeOutcome> {
+        // A retry must be recognized first, because the version that it is based on is no longer the current one.
+        if self.dedup_window.contains(id.content_hash) {
+            return Some(ChangeOutcome::Duplicate);
+        }
+        if self.dedup_window.may_have_evicted(id.base_version) {
+            return Some(ChangeOutcome::Expired);
+        }
+        (id.base_version != self.version).then_some(ChangeOutcome::Conflict { current: self.version })
+    }
+
+    /// Returns the outcome of a change that is based on the current version.
+    fn outcome_by_content(&self, change: &Change) -> ChangeOutcome {
+        match self.check(change) {
+            Ok(()) => ChangeOutcome::Accepted,
+            Err(invalid) => ChangeOutcome::Invalid(invalid),
+        }
+    }
+
     /// Returns the current version; 0 before the first configuration.
     pub fn version(&self) -> u64 {
         self.version
@@ -172,7 +194,7 @@
         let diff = ConfigDiff::between(&self.document, &change);
         let keys = diff.keys().filter(|key| ConfigView::includes(key)).cloned().collect();
         self.change_log.push(ChangeLogEntry { base_version: self.version, keys });
-        let content_hash = change.content_hash;
+        let content_hash = change.id.content_hash;
         self.dedup_window.push(AppliedChange { base_version: self.version, content_hash });
         self.apply_diff(&diff, change.version);
         self.version = change.version;
--- a/consensus/src/leader.rs
+++ b/consensus/src/leader.rs
@@ -46,11 +46,20 @@
     ///
     /// [`Options::max_command_bytes`]: crate::Options::max_command_bytes
     pub fn propose(&mut self, now: Millis, command: Vec<u8>) -> Result<Index, ReplicaError> {
+        self.check_proposal(now, command.len())?;
+        Ok(self.append_entry(Payload::Command(command.into())))
+    }
+
+    /// Whether a command of this size would be accepted now, for an owner that encodes large commands only then.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Replica::propose`].
+    pub fn check_proposal(&mut self, now: Millis, size: usize) -> Result<(), ReplicaError> {
         self.set_now(now);
         if !self.is_leader() {
             return self.not_leader();
         }
-        let size = command.len();
         if size > self.options.max_command_bytes {
             return Err(ReplicaError::TooLarge { size });
         }
@@ -61,7 +70,7 @@
         if is_full || self.must_reject_proposals(size) {
             return Err(ReplicaError::Busy);
         }
-        Ok(self.append_entry(Payload::Command(command.into())))
+        Ok(())
     }
 
     /// Appends an entry of the current term. A leader never overwrites its own entries (Leader Append-Only; Ongaro's
--- a/coordinator/src/core/operator.rs
+++ b/coordinator/src/core/operator.rs
@@ -3,7 +3,7 @@
 
 mod pending_calls;
 
-use shaletrail_configuration::{Change, ChangeKind, ChangeOutcome};
+use shaletrail_configuration::{Change, ChangeId, ChangeKind, ChangeOutcome, InvalidConfig};
 use shaletrail_consensus::Replica;
 use shaletrail_protocol::internal::{CoordinatorMessage, OperatorCall, OperatorResponse};
 use shaletrail_protocol::{Millis, NodeId};
@@ -22,14 +22,14 @@
         call: OperatorCall,
         actions: &mut Vec<Action>,
     ) {
-        if let OperatorCall::Change { replace, base_version, body } = &call {
-            if let Err(invalid) = Change::parse(ChangeKind::from_replace_flag(*replace), *base_version, body)
-            {
+        let change = match identify(origin, &call) {
+            Ok(change) => change,
+            Err(invalid) => {
                 let response = OperatorResponse::Invalid { reason: invalid.to_string() };
                 return respond(origin, response, actions);
             }
-        }
-        if self.operator_calls.add(now, origin, call).is_none() {
+        };
+        if self.operator_calls.add(now, origin, call, change).is_none() {
             respond(origin, OperatorResponse::Unavailable, actions);
         }
     }
@@ -57,11 +57,17 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(pending) = self.operator_calls.get_mut(id) else { return };
+        let is_final =
+            pending.change.is_some_and(|change| self.shards.configuration().final_outcome(change).is_some());
         let replica = self.shards.configuration_replica();
         if replica.is_leader() {
-            if let Some(stage) = start_at_leader(replica, now, id, &pending.call) {
-                pending.stage = stage;
-            }
+            let started = match &pending.call {
+                OperatorCall::Change { replace, base_version, body } if !is_final => {
+                    propose(replica, now, *replace, *base_version, body)
+                }
+                _ => start_read(replica, now, id),
+            };
+            pending.stage = started.unwrap_or(pending.stage);
         } else if let (Some(leader), CallOrigin::Local(_)) = (leader, pending.origin) {
             let request = CoordinatorMessage::ForwardRequest { call_id: id.0, call: pending.call.clone() };
             actions.push(Action::Send { to: leader, message: request });
@@ -95,15 +101,26 @@
     ) {
         for id in self.operator_calls.resolve_proposals(index, term) {
             let Some(pending) = self.operator_calls.get_mut(id) else { continue };
-            let response = response_to(outcome, &pending.call);
+            let Some(change) = pending.change else { continue };
+            let response = response_to(outcome, change.base_version());
             self.complete_call(id, response, actions);
         }
     }
 
-    /// Answers a read after a quorum has confirmed that this node was still the leader when the read arrived.
+    /// Answers a read, or a change whose outcome is final, after a quorum has confirmed that this node was still the
+    /// leader when the call arrived.
     pub(super) fn on_read_ready(&mut self, token: u64, actions: &mut Vec<Action>) {
-        let body = self.shards.configuration().read();
-        self.complete_call(PendingCallId(token), OperatorResponse::Done { body }, actions);
+        let id = PendingCallId(token);
+        let Some(pending) = self.operator_calls.get_mut(id) else { return };
+        let configuration = self.shards.configuration();
+        let response = match pending.change {
+            None => OperatorResponse::Done { body: configuration.read() },
+            Some(change) => match configuration.final_outcome(change) {
+                Some(outcome) => response_to(&outcome, change.base_version()),
+                None => OperatorResponse::Unavailable,
+            },
+        };
+        self.complete_call(id, response, actions);
     }
 
     /// Handles a read that this node cannot answer: it waits for the next leader.
@@ -120,34 +137,51 @@
     }
 }
 
-/// Starts a read or proposes a change at the leader; `None` if the replica does not accept it at this time.
-fn start_at_leader(
+/// Returns the identity of a change, or `None` for a read. The body of a change is parsed at the node that the operator
+/// has called, but not again where a peer has forwarded it: parsing takes long enough to delay a leader's heartbeats.
+///
+/// # Errors
+/// The body is invalid regardless of the current configuration.
+fn identify(origin: CallOrigin, call: &OperatorCall) -> Result<Option<ChangeId>, InvalidConfig> {
+    let OperatorCall::Change { replace, base_version, body } = call else { return Ok(None) };
+    let kind = ChangeKind::from_replace_flag(*replace);
+    let change = match origin {
+        CallOrigin::Local(_) => Change::parse(kind, *base_version, body)?.id(),
+        CallOrigin::Peer { .. } => ChangeId::of(kind, *base_version, body),
+    };
+    Ok(Some(change))
+}
+
+/// Starts a read at the leader; `None` if the replica does not accept it at this time. A change whose outcome is final is
+/// answered like a read: an entry in the log would only delay the entries of other changes.
+fn start_read(replica: &mut Replica, now: Millis, id: PendingCallId) -> Option<CallStage> {
+    replica.read(now, id.0).ok().map(|()| CallStage::Reading)
+}
+
+/// Proposes a change at the leader; `None` if the replica does not accept it at this time.
+fn propose(
     replica: &mut Replica,
     now: Millis,
-    id: PendingCallId,
-    call: &OperatorCall,
+    replace: bool,
+    base_version: u64,
+    body: &[u8],
 ) -> Option<CallStage> {
-    match call {
-        OperatorCall::Read => replica.read(now, id.0).ok().map(|()| CallStage::Reading),
-        OperatorCall::Change { replace, base_version, body } => {
-            let change = Change::parse(ChangeKind::from_replace_flag(*replace), *base_version, body).ok()?;
-            let term = replica.term();
-            let index = replica.propose(now, change.encode()).ok()?;
-            Some(CallStage::Proposed { index, term })
-        }
-    }
+    // Checked first: while the log is full, every event would encode the large bodies of all waiting calls.
+    replica.check_proposal(now, body.len()).ok()?;
+    let command = Change::encode_call(ChangeKind::from_replace_flag(replace), base_version, body)?;
+    let term = replica.term();
+    let index = replica.propose(now, command).ok()?;
+    Some(CallStage::Proposed { index, term })
 }
 
 /// Returns the response to a change with this outcome. A conflict is only reported if it is final, as another copy of
 /// the same call may still be in flight to another node: a change based on an older version can never be accepted, but
 /// one based on a future version can, so it is answered `Unavailable`.
-fn response_to(outcome: &ChangeOutcome, call: &OperatorCall) -> OperatorResponse {
-    let builds_after =
-        |version: u64| matches!(call, OperatorCall::Change { base_version, .. } if *base_version > version);
+fn response_to(outcome: &ChangeOutcome, base_version: u64) -> OperatorResponse {
     match outcome {
         ChangeOutcome::Accepted | ChangeOutcome::Duplicate => OperatorResponse::Done { body: b"{}".to_vec() },
         ChangeOutcome::Expired => OperatorResponse::Unavailable,
-        ChangeOutcome::Conflict { current } if builds_after(*current) => OperatorResponse::Unavailable,
+        ChangeOutcome::Conflict { current } if base_version > *current => OperatorResponse::Unavailable,
         ChangeOutcome::Conflict { current } => OperatorResponse::Conflict { current_version: *current },
         ChangeOutcome::Invalid(invalid) => OperatorResponse::Invalid { reason: invalid.to_string() },
     }
--- a/coordinator/src/core/operator/pending_calls.rs
+++ b/coordinator/src/core/operator/pending_calls.rs
@@ -1,12 +1,13 @@
 //! The table of operator calls that wait for a response.
 //!
 //! A call is only answered from the configuration's shard: by the log entry that its proposal became, or by a read that
-//! a quorum has confirmed. A node that does not lead the shard forwards the call to the leader. A call whose outcome is
+//! a quorum has confirmed, which also answers a change whose outcome is final. A node that does not lead the shard forwards the call to the leader. A call whose outcome is
 //! not known by its deadline is answered `Unavailable`. The operator may retry it at any node, as accepted changes are
 //! recognised by their content.
 
 use std::collections::BTreeMap;
 
+use shaletrail_configuration::ChangeId;
 use shaletrail_protocol::internal::OperatorCall;
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
 use shaletrail_ring::mix;
@@ -52,7 +53,7 @@
         /// The entry's term.
         term: u64,
     },
-    /// A quorum has not confirmed the read yet.
+    /// A quorum has not confirmed the read yet, or the leadership of the node that knows the outcome of the change.
     Reading,
 }
 
@@ -63,6 +64,8 @@
     pub origin: CallOrigin,
     /// The read or the change.
     pub call: OperatorCall,
+    /// The identity of the change; `None` for a read.
+    pub change: Option<ChangeId>,
     /// The present processing stage.
     pub stage: CallStage,
     /// When the call is answered `Unavailable`.
@@ -84,7 +87,13 @@
     }
 
     /// Adds a call and assigns its id; `None` if too many calls are pending.
-    pub fn add(&mut self, now: Millis, origin: CallOrigin, call: OperatorCall) -> Option<PendingCallId> {
+    pub fn add(
+        &mut self,
+        now: Millis,
+        origin: CallOrigin,
+        call: OperatorCall,
+        change: Option<ChangeId>,
+    ) -> Option<PendingCallId> {
         if self.pending.len() >= MAX_PENDING_CALLS {
             return None;
         }
@@ -95,7 +104,7 @@
         let deadline = now + CALL_TIMEOUT + CALL_TIMEOUT_PER_MIB * body_mib;
         self.last_id += 1;
         let id = PendingCallId(self.last_id);
-        let pending = PendingCall { origin, call, stage: CallStage::WaitingForLeader, deadline };
+        let pending = PendingCall { origin, call, change, stage: CallStage::WaitingForLeader, deadline };
         self.pending.insert(id, pending);
         Some(id)
     }
--- a/coordinator/tests/full_journals.rs
+++ b/coordinator/tests/full_journals.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::simulated_cluster::SimulatedCluster;
-use common::{configuration, replace_call};
+use common::{configuration, is_done, replace_call};
 use shaletrail_coordinator::core::shards::CONFIGURATION;
-use shaletrail_coordinator::interface::Event;
-use shaletrail_protocol::internal::OperatorCall;
+use shaletrail_coordinator::interface::{CallId, Event};
+use shaletrail_protocol::internal::{OperatorCall, OperatorResponse};
 use shaletrail_protocol::{Millis, NodeId};
 
 /// Number of changes that the operator may have under way at the same time.
@@ -144,3 +144,27 @@
     // then
     assert_configurable(&mut cluster);
 }
+
+/// Guards against a log that is full of changes that can no longer be accepted: once one of those that wait for space has
+/// been applied, the others are answered without entries of their own.
+#[test]
+fn waiting_changes_are_answered_once_another_is_applied() {
+    // given
+    let (mut cluster, leader, _) = bootstrapped(1);
+    let last_before = cluster.replica(leader, CONFIGURATION).last_position().index;
+
+    // when
+    let changes = 2..2 + CONCURRENT_CHANGES;
+    let calls: Vec<CallId> = changes
+        .map(|version| cluster.send_operator_call(leader, &large_change(1, version, LARGE_CHANGE_BYTES)))
+        .collect();
+    cluster.run(REPLICATION_MS);
+
+    // then
+    let responses: Vec<_> = calls.iter().map(|call| cluster.operator_response(*call)).collect();
+    assert!(is_done(responses[0]), "{responses:?}");
+    let conflict = Some(&OperatorResponse::Conflict { current_version: 2 });
+    assert!(responses[1..].iter().all(|response| *response == conflict), "{responses:?}");
+    let appended = cluster.replica(leader, CONFIGURATION).last_position().index - last_before;
+    assert!(appended < CONCURRENT_CHANGES, "{appended} entries");
+}
--- a/coordinator/tests/operator_calls.rs
+++ b/coordinator/tests/operator_calls.rs
@@ -160,6 +160,35 @@
     }
 }
 
+/// Guards against a core that is busy for good with copies of large changes: a copy that can no longer be accepted took
+/// up space in the log, and time of all replicas, before it was answered.
+#[test]
+fn change_with_final_outcome_is_answered_without_log_entry() {
+    // given
+    let (mut cluster, leader, _) = configured();
+    let applied = configuration(2, "b.example");
+    let first = cluster.replace_config(leader, 1, &applied);
+    cluster.run(300);
+    assert!(is_done(cluster.operator_response(leader, first)));
+    let last_position = |cluster: &Cluster| {
+        cluster.core(leader).shards().get(CONFIGURATION).expect("the shard exists").replica.last_position()
+    };
+    let last_before = last_position(&cluster);
+
+    for number in cluster.numbers() {
+        // when
+        let copy = cluster.replace_config(number, 1, &applied);
+        let other = cluster.replace_config(number, 1, &configuration(2, "c.example"));
+        cluster.run(200);
+
+        // then
+        let responses = [copy, other].map(|call| cluster.operator_response(number, call));
+        assert!(is_done(responses[0]), "{number}: {responses:?}");
+        assert_eq!(responses[1], Some(&OperatorResponse::Conflict { current_version: 2 }), "{number}");
+    }
+    assert_eq!(last_position(&cluster), last_before);
+}
+
 #[test]
 fn proposal_is_acknowledged_after_leader_change() {
     // given: one follower has received the entry, but its acknowledgement does not reach the leader
--- a/coordinator/tests/pending_calls.rs
+++ b/coordinator/tests/pending_calls.rs
@@ -11,7 +11,7 @@
 const ORIGIN: CallOrigin = CallOrigin::Local(CallId(1));
 
 fn add(calls: &mut PendingCalls, call: OperatorCall) -> PendingCallId {
-    calls.add(1_000, ORIGIN, call).expect("there is space")
+    calls.add(1_000, ORIGIN, call, None).expect("there is space")
 }
 
 fn add_at_stage(calls: &mut PendingCalls, stage: CallStage) -> PendingCallId {
