Apply the limit on request heads of the configuration in force to each request

Cause: the limit was read once, when a connection was accepted, and handed to hyper, which keeps it for the life of the connection. A lowered limit did not reach open connections either, nor did that of the first configuration reach connections that were opened before it.

Change: hyper's bound is the size of the read buffer (128 KiB, or a larger limit at that time). Each request is checked against the limit in force, by the length of its head without optional spaces, so that a proper head is never refused. If the limit is raised above the read buffer of a connection, the connection is closed once it is idle.

--- a/dataplane/src/client_connection.rs
+++ b/dataplane/src/client_connection.rs
@@ -44,6 +44,8 @@
     phase: Cell<Phase>,
     phase_started_at: Cell<Millis>,
     disposition: Cell<Disposition>,
+    /// Size of the read buffer, and so of the longest request head that can be received.
+    read_buffer_bytes: usize,
     /// Can be upgraded only while the socket is open.
     stream: Weak<TcpStream>,
     /// Wakes the connection's task.
@@ -52,12 +54,13 @@
 
 impl ClientConnection {
     /// Creates the state of an idle connection that is kept open. Does not keep the socket open.
-    pub fn new(clock: Clock, stream: &Rc<TcpStream>) -> Self {
+    pub fn new(clock: Clock, stream: &Rc<TcpStream>, read_buffer_bytes: usize) -> Self {
         ClientConnection {
             clock,
             phase: Cell::new(Phase::Idle),
             phase_started_at: Cell::new(clock.now()),
             disposition: Cell::new(Disposition::KeepOpen),
+            read_buffer_bytes,
             stream: Rc::downgrade(stream),
             waker: RefCell::default(),
         }
@@ -108,8 +111,23 @@
         self.waker.replace(Some(waker.clone()));
     }
 
+    /// Size of the read buffer, in bytes.
+    pub fn read_buffer_bytes(&self) -> usize {
+        self.read_buffer_bytes
+    }
+
+    /// The disposition that follows from the limits in force.
+    pub fn check(&self, now: Millis, limits: &ClientLimits) -> Disposition {
+        match self.check_timeout(now, limits) {
+            Disposition::KeepOpen if limits.max_header_bytes > self.read_buffer_bytes as u64 => {
+                Disposition::CloseWhenIdle
+            }
+            disposition => disposition,
+        }
+    }
+
     /// The disposition that follows from the time-out of the current phase.
-    pub fn check_timeout(&self, now: Millis, limits: &ClientLimits) -> Disposition {
+    fn check_timeout(&self, now: Millis, limits: &ClientLimits) -> Disposition {
         let (timeout_ms, disposition) = match self.phase.get() {
             Phase::Idle => (limits.idle_timeout_ms, Disposition::CloseWhenIdle),
             Phase::ReadingHead => (limits.header_timeout_ms, Disposition::Abort),
--- a/dataplane/src/ingress.rs
+++ b/dataplane/src/ingress.rs
@@ -22,7 +22,7 @@
 use crate::client_request::ClientRequest;
 use crate::client_response::rejection_head;
 use crate::exchange::Exchange;
-use crate::request::{host, path_hash, RequestHeaders};
+use crate::request::{host, min_head_bytes, path_hash, RequestHeaders};
 use crate::request_handle::RequestHandle;
 use crate::response_body::{drive_to_head, ResponseAborted, ResponseBody, ResponseWriter};
 use crate::state::State;
@@ -73,6 +73,10 @@
     let guard = connection.begin_request();
     let arrived_at = state.clock.now();
     let (head, body) = request.into_parts();
+    if min_head_bytes(&head) as u64 > state.view().limits.max_header_bytes {
+        let response = local_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, None)?;
+        return Ok(with_connection_close(response).map(|body| GuardedBody { body, _guard: guard }));
+    }
     let mut response = match read_body(&state, body).await {
         // The request may have been pipelined by a client that disconnected before its
         // previous response was complete.
--- a/dataplane/src/listener.rs
+++ b/dataplane/src/listener.rs
@@ -32,7 +32,8 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval between checks whether a client has disconnected that has sent more than hyper has read.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Lower bound of hyper's buffer limit for a client connection.
+/// Lower bound of the read buffer of a client connection. The limit on request heads that is in force applies to each
+/// request, so it may be raised up to this size while the connection is open.
 const MIN_READ_BUFFER_BYTES: usize = 128 << 10;
 
 /// Opens a listening socket with `SO_REUSEADDR`. Fails if the address cannot be bound.
@@ -83,14 +84,15 @@
         }
     }
 
-    /// Closes client connections and idle server connections that have timed out; never returns.
+    /// Closes client connections that have timed out or cannot receive heads of the length that the configuration
+    /// allows, and idle server connections that have timed out; never returns.
     pub async fn enforce_timeouts(&self) {
         loop {
             tokio::time::sleep(TIMEOUT_CHECK_INTERVAL).await;
             let now = self.state.clock.now();
             let limits = self.state.view().limits;
             for connection in self.connections.borrow().values() {
-                match connection.check_timeout(now, &limits) {
+                match connection.check(now, &limits) {
                     Disposition::KeepOpen => {}
                     disposition => connection.set_disposition(disposition),
                 }
@@ -118,6 +120,12 @@
         }
     }
 
+    /// The size of a new connection's read buffer.
+    fn read_buffer_bytes(&self) -> usize {
+        let max_head_bytes = usize::try_from(self.state.view().limits.max_header_bytes);
+        max_head_bytes.unwrap_or(MIN_READ_BUFFER_BYTES).max(MIN_READ_BUFFER_BYTES)
+    }
+
     fn spawn_connection(self: Rc<Self>, stream: TcpStream) {
         self.last_accepted_at.set(self.state.clock.now());
         if let Err(error) = set_socket_options(&stream) {
@@ -127,7 +135,8 @@
         let id = self.next_id.get();
         self.next_id.set(id.wrapping_add(1));
         let stream = Rc::new(stream);
-        let connection = Rc::new(ClientConnection::new(self.state.clock, &stream));
+        let read_buffer_bytes = self.read_buffer_bytes();
+        let connection = Rc::new(ClientConnection::new(self.state.clock, &stream, read_buffer_bytes));
         self.connections.borrow_mut().insert(id, connection.clone());
         tokio::task::spawn_local(async move {
             serve(self.state.clone(), connection, stream).await;
@@ -139,8 +148,7 @@
 
 /// Serves the requests of one connection until the connection ends.
 async fn serve(state: Rc<State>, connection: Rc<ClientConnection>, stream: Rc<TcpStream>) {
-    let max_head_bytes = usize::try_from(state.view().limits.max_header_bytes);
-    let max_head_bytes = max_head_bytes.unwrap_or(MIN_READ_BUFFER_BYTES);
+    let read_buffer_bytes = connection.read_buffer_bytes();
     let mut disconnect = pin!(wait_for_disconnect(stream.clone()));
     let mut is_disconnected = false;
     let io = TrackedStream::new(stream, connection.clone());
@@ -150,8 +158,8 @@
     };
     let mut builder = http1::Builder::new();
     builder
-        .max_header_size(max_head_bytes)
-        .max_buf_size(MIN_READ_BUFFER_BYTES.max(max_head_bytes))
+        .max_header_size(read_buffer_bytes)
+        .max_buf_size(read_buffer_bytes)
         .header_read_timeout(None)
         .auto_date_header(false);
     let mut serving = pin!(builder.serve_connection(io, service));
--- a/dataplane/src/request.rs
+++ b/dataplane/src/request.rs
@@ -1,6 +1,8 @@
 //! Parses the request headers that routing depends on, and strips hop-by-hop headers.
 
 use hyper::header::{HeaderMap, HeaderName, CONNECTION, HOST};
+use hyper::http::request::Parts;
+use hyper::Uri;
 use shaletrail_protocol::Millis;
 
 /// The client's id for this attempt at a request; servers repeat it in their responses.
@@ -36,6 +38,11 @@
     "proxy-connection",
 ];
 
+/// Bytes of a request line besides method and target: two spaces, the version and the end of the line.
+const REQUEST_LINE_BYTES: usize = " ".len() * 2 + "HTTP/1.1".len() + "\r\n".len();
+/// Bytes of a header line besides name and value.
+const HEADER_LINE_BYTES: usize = ":".len() + "\r\n".len();
+
 /// The request headers that routing depends on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestHeaders {
@@ -69,7 +76,7 @@
 }
 
 /// The host of a request without its port, from the URI or else from `Host`; empty if neither names one.
-pub fn host<'a>(headers: &'a HeaderMap, uri: &'a hyper::Uri) -> &'a str {
+pub fn host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
     let named = uri.host().or_else(|| header_text(headers, &HOST)).unwrap_or_default();
     named.rsplit_once(':').map_or(named, |(name, port)| {
         let is_port = port.bytes().all(|byte| byte.is_ascii_digit());
@@ -143,3 +150,22 @@
     let number: f64 = value.parse().ok()?;
     (number.is_finite() && number >= 0.0).then_some(number as Millis)
 }
+
+/// The length of a request's head as received, in bytes, less the optional spaces around header values. So a head within
+/// a limit never counts as longer.
+pub fn min_head_bytes(head: &Parts) -> usize {
+    let headers = head.headers.iter();
+    let header_bytes: usize =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_BYTES).sum();
+    head.method.as_str().len() + target_bytes(&head.uri) + REQUEST_LINE_BYTES + header_bytes + "\r\n".len()
+}
+
+/// The length of a request's target, in bytes. hyper adds the path `/` to an absolute URI without a path.
+fn target_bytes(target: &Uri) -> usize {
+    let scheme = target.scheme_str().map_or(0, |scheme| scheme.len() + "://".len());
+    let authority = target.authority().map_or(0, |authority| authority.as_str().len());
+    let is_path_optional = target.scheme().is_some();
+    let path = target.path_and_query().map_or("", |path| path.as_str());
+    let path = if is_path_optional && path == "/" { 0 } else { path.len() };
+    scheme + authority + path
+}
