Write a failed checkpoint again once the disk may work

Change: the coordinator writes a failed checkpoint again after 500 ms, until one succeeds.

Evidence: core_recovers_once_checkpoints_succeed_again failed before (the leader's log stayed uncommitted for 3 s after the fault had ended), and fails without the guard failed-checkpoint-is-written-again.

--- a/coordinator/src/core/disk.rs
+++ b/coordinator/src/core/disk.rs
@@ -8,6 +8,8 @@
 
 /// How long a disk counts as degraded after the last [`DiskDegraded`](crate::interface::Event::DiskDegraded) event.
 const DEGRADED_PERIOD: Millis = 1_500;
+/// Delay between a failed checkpoint and the next attempt.
+const CHECKPOINT_RETRY_DELAY: Millis = 500;
 
 impl Coordinator {
     /// Handles a disk that does not make records durable: another voter should lead the configuration's shard.
@@ -35,11 +37,25 @@
         }
     }
 
+    /// Handles a checkpoint that could not be written.
+    pub(super) fn on_checkpoint_failed(&mut self, now: Millis) {
+        self.on_disk_degraded(now);
+        self.checkpoint_retry_at = Some(now + CHECKPOINT_RETRY_DELAY);
+    }
+
+    /// Writes a failed checkpoint again once its delay has passed. The journal requests one only after a further append,
+    /// and a leader whose log is full appends nothing until the journals of its followers have space.
+    pub(super) fn retry_checkpoint_if_due(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let is_due = self.checkpoint_retry_at.is_some_and(|retry_at| retry_at <= now);
+        self.checkpoint_if(is_due, actions);
+    }
+
     /// Emits a checkpoint of all live records if the driver has asked for one.
     pub(super) fn checkpoint_if(&mut self, is_requested: bool, actions: &mut Vec<Action>) {
         if !is_requested {
             return;
         }
+        self.checkpoint_retry_at = None;
         let mut live = self.shards.live_records();
         live.extend(self.directory_snapshots.live_records());
         actions.push(Action::Checkpoint { live });
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -62,6 +62,8 @@
     peer_versions: PeerVersions,
     /// The disk counts as degraded before this time.
     disk_degraded_until: Millis,
+    /// When a failed checkpoint is written again; `None` if none has failed since the last attempt.
+    checkpoint_retry_at: Option<Millis>,
     next_voter_review: Millis,
     /// The configuration version that was last passed to the order leases and logged.
     last_applied_version: u64,
@@ -104,6 +106,7 @@
             had_quorum_contact: false,
             peer_versions: PeerVersions::default(),
             disk_degraded_until: 0,
+            checkpoint_retry_at: None,
             next_voter_review: now,
             last_applied_version: 0,
             startup_actions,
@@ -116,7 +119,10 @@
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         actions.append(&mut self.startup_actions);
         match event {
-            Event::Tick => self.tick(now),
+            Event::Tick => {
+                self.tick(now);
+                self.retry_checkpoint_if_due(now, actions);
+            }
             Event::Message { from, message } => self.receive(now, from, message, actions),
             Event::Persisted { ticket, wants_checkpoint } => {
                 self.shards.on_persisted(now, ticket);
@@ -127,6 +133,7 @@
                 self.on_disk_degraded(now);
                 self.checkpoint_if(wants_checkpoint, actions);
             }
+            Event::CheckpointFailed => self.on_checkpoint_failed(now),
             Event::Heartbeat { call, id, heartbeat } => self.on_heartbeat(now, call, id, heartbeat, actions),
             Event::Deregister { call, id } => self.on_deregister(now, call, id),
             Event::OperatorCall { call, request } => {
--- a/coordinator/src/driver/journal/queue.rs
+++ b/coordinator/src/driver/journal/queue.rs
@@ -132,7 +132,7 @@
         WriterEvent::SyncFailed { wants_checkpoint, .. } => {
             Some(Event::DiskDegraded { wants_checkpoint: *wants_checkpoint })
         }
-        WriterEvent::CheckpointFailed { .. } => Some(Event::DiskDegraded { wants_checkpoint: false }),
+        WriterEvent::CheckpointFailed { .. } => Some(Event::CheckpointFailed),
         WriterEvent::Checkpointed { .. } | WriterEvent::Stopped => None,
     }
 }
--- a/coordinator/src/interface.rs
+++ b/coordinator/src/interface.rs
@@ -97,6 +97,9 @@
         /// Whether the journal's segment ring is full, so that only an [`Action::Checkpoint`] frees space.
         wants_checkpoint: bool,
     },
+    /// An [`Action::Checkpoint`] has failed without changing anything. No new record may be durable until another one
+    /// succeeds.
+    CheckpointFailed,
     /// A server has sent a heartbeat; answered with [`Action::RespondToServer`].
     Heartbeat {
         /// The call to answer.
