Limit the total length of the bodies of pending operator calls

Change: beyond 48 MiB a further call is answered as unavailable at once, and the operator asks another node. Eight changes of 4 MiB, as many as may be under way, are always accepted.

Evidence: bodies_of_pending_calls_are_limited failed before.

--- a/coordinator/src/core/operator/pending_calls.rs
+++ b/coordinator/src/core/operator/pending_calls.rs
@@ -16,6 +16,9 @@
 
 /// Maximum number of pending calls.
 const MAX_PENDING_CALLS: usize = 64;
+/// Maximum total length of the bodies of pending calls, in bytes. A single longer body is accepted if no other call with a
+/// body is pending.
+const MAX_PENDING_BODY_BYTES: usize = 48 << 20;
 /// Timeout of a call with a small body. It ends before operators retry at another node, after one second.
 const CALL_TIMEOUT: Millis = 900;
 /// Added to the timeout for each MiB of a call's body, as replicating a large body takes longer.
@@ -86,7 +89,7 @@
         PendingCalls { last_id: mix(incarnation.0) << 32, ..PendingCalls::default() }
     }
 
-    /// Adds a call and assigns its id; `None` if too many calls are pending.
+    /// Adds a call and assigns its id; `None` if too many calls are pending, or their bodies are too long.
     pub fn add(
         &mut self,
         now: Millis,
@@ -94,13 +97,11 @@
         call: OperatorCall,
         change: Option<ChangeId>,
     ) -> Option<PendingCallId> {
-        if self.pending.len() >= MAX_PENDING_CALLS {
+        let body_bytes = body_len(&call);
+        if self.pending.len() >= MAX_PENDING_CALLS || !self.has_memory_for(body_bytes) {
             return None;
         }
-        let body_mib = match &call {
-            OperatorCall::Change { body, .. } => body.len() as u64 >> 20,
-            OperatorCall::Read => 0,
-        };
+        let body_mib = body_bytes as u64 >> 20;
         let deadline = now + CALL_TIMEOUT + CALL_TIMEOUT_PER_MIB * body_mib;
         self.last_id += 1;
         let id = PendingCallId(self.last_id);
@@ -109,6 +110,11 @@
         Some(id)
     }
 
+    fn has_memory_for(&self, body_bytes: usize) -> bool {
+        let pending_bytes: usize = self.pending.values().map(|pending| body_len(&pending.call)).sum();
+        pending_bytes == 0 || pending_bytes + body_bytes <= MAX_PENDING_BODY_BYTES
+    }
+
     /// Returns the call with this id, if it is pending.
     pub fn get_mut(&mut self, id: PendingCallId) -> Option<&mut PendingCall> {
         self.pending.get_mut(&id)
@@ -140,3 +146,11 @@
         }
     }
 }
+
+/// The length of a call's body, in bytes.
+fn body_len(call: &OperatorCall) -> usize {
+    match call {
+        OperatorCall::Change { body, .. } => body.len(),
+        OperatorCall::Read => 0,
+    }
+}
--- a/coordinator/tests/pending_calls.rs
+++ b/coordinator/tests/pending_calls.rs
@@ -85,3 +85,31 @@
         assert!(first.iter().all(|id| !second.contains(id)), "{first:?} {second:?}");
     }
 }
+
+/// Guards against a coordinator that exceeds the memory of its machine by the bodies of calls that it cannot complete yet.
+#[test]
+fn bodies_of_pending_calls_are_limited() {
+    // given: as many changes of the maximum length as the operator may have under way
+    const BODY_BYTES: usize = 4 << 20;
+    const CONCURRENT_CHANGES: usize = 8;
+    const MACHINE_MEMORY_BYTES: usize = 256 << 20;
+    let mut calls = PendingCalls::for_incarnation(Incarnation(1));
+    let change = || OperatorCall::Change { replace: true, base_version: 0, body: vec![b' '; BODY_BYTES] };
+    let first: Vec<PendingCallId> = (0..CONCURRENT_CHANGES).map(|_| add(&mut calls, change())).collect();
+
+    // when
+    let added = (0..).take_while(|_| calls.add(1_000, ORIGIN, change(), None).is_some()).count();
+
+    // then
+    assert!((CONCURRENT_CHANGES + added) * BODY_BYTES <= MACHINE_MEMORY_BYTES / 4);
+    assert!(calls.add(1_000, ORIGIN, OperatorCall::Read, None).is_some());
+    calls.remove(first[0]);
+    add(&mut calls, change());
+}
+
+#[test]
+fn single_long_body_is_accepted() {
+    let mut calls = PendingCalls::for_incarnation(Incarnation(1));
+    let body = vec![b' '; 100 << 20];
+    add(&mut calls, OperatorCall::Change { replace: true, base_version: 0, body });
+}
