--- a/configuration/src/change_log.rs
+++ b/configuration/src/change_log.rs
@@ -8,12 +8,17 @@
 /// Limit on the number of keys plus the number of entries in the log.
 const MAX_KEYS_AND_ENTRIES: usize = 4096;
 
+/// Limit on the total length of the keys in the log, in bytes. Every snapshot contains the log.
+const MAX_KEY_BYTES: usize = 1 << 20;
+
 /// The most recent changes and the items that each of them modified, oldest first.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct ChangeLog {
     entries: VecDeque<ChangeLogEntry>,
     /// Number of keys plus number of entries; at most [`MAX_KEYS_AND_ENTRIES`].
     keys_and_entries: usize,
+    /// Total length of the keys; at most [`MAX_KEY_BYTES`].
+    key_bytes: usize,
 }
 
 /// The items that one change added, replaced or removed.
@@ -29,16 +34,23 @@
     fn keys_and_entries(&self) -> usize {
         self.keys.len() + 1
     }
+
+    /// The entry's contribution to [`MAX_KEY_BYTES`].
+    fn key_bytes(&self) -> usize {
+        self.keys.iter().map(|key| key.list.len() + key.name.len()).sum()
+    }
 }
 
 impl ChangeLog {
-    /// Appends an entry and evicts the oldest entries while the log exceeds its limit.
+    /// Appends an entry and evicts the oldest entries while the log exceeds a limit.
     pub(crate) fn push(&mut self, entry: ChangeLogEntry) {
         self.keys_and_entries += entry.keys_and_entries();
+        self.key_bytes += entry.key_bytes();
         self.entries.push_back(entry);
-        while self.keys_and_entries > MAX_KEYS_AND_ENTRIES {
+        while self.keys_and_entries > MAX_KEYS_AND_ENTRIES || self.key_bytes > MAX_KEY_BYTES {
             let Some(oldest) = self.entries.pop_front() else { return };
             self.keys_and_entries -= oldest.keys_and_entries();
+            self.key_bytes -= oldest.key_bytes();
         }
     }
 
--- a/configuration/tests/snapshots.rs
+++ b/configuration/tests/snapshots.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{replace, route, state_with_two_routes, two_routes, update};
+use common::{replace, route, service, state_with_two_routes, two_routes, update};
 use serde_json::json;
 use shaletrail_configuration::{ChangeOutcome, ConfigState};
 
@@ -68,3 +68,32 @@
     damaged[route - 1] = 0;
     assert!(ConfigState::restore(&damaged).is_err());
 }
+
+/// Guards against a snapshot that no journal accepts: the names of recently changed items are stored once more for each
+/// change.
+#[test]
+fn snapshot_exceeds_configuration_by_limited_size() {
+    // given: services with long names that change again and again
+    const NAME_BYTES: usize = 200_000;
+    const CHANGES: u64 = 40;
+    const MAX_OVERHEAD_BYTES: usize = 2 << 20;
+    let mut state = ConfigState::default();
+
+    for version in 1..=CHANGES {
+        // when
+        let mut changed = service(&"n".repeat(NAME_BYTES));
+        changed["maxConnections"] = json!(version);
+        let body = json!({"version": version, "upsert": {"services": [changed]}});
+        assert_eq!(update(&mut state, version - 1, &body), ChangeOutcome::Accepted);
+
+        // then
+        let (snapshot, configuration) = (state.snapshot().len(), state.read().len());
+        assert!(snapshot <= configuration + MAX_OVERHEAD_BYTES, "{snapshot} bytes for {configuration}");
+    }
+    // and: an update since the last version is still a delta, one since the first contains everything
+    let since = |version| state.updates_since(version).expect("there is a later version");
+    assert_eq!(since(CHANGES - 1).base, Some(CHANGES - 1));
+    assert_eq!(since(1).base, None);
+    let restored = ConfigState::restore(&state.snapshot()).expect("a snapshot");
+    assert_eq!(restored.snapshot(), state.snapshot());
+}
