--- a/coordinator/src/core/directory_snapshot.rs
+++ b/coordinator/src/core/directory_snapshot.rs
@@ -33,6 +33,8 @@
     /// The directory's cursor at the newest snapshot.
     saved: DirectoryCursor,
     next_due: Millis,
+    /// The ticket of the newest snapshot while it is not synced.
+    unsynced_ticket: Option<u64>,
     /// The newest snapshot, encoded; empty if there is none.
     newest: Vec<u8>,
     /// Encoded records of servers that have begun to leave since the newest snapshot.
@@ -68,7 +70,7 @@
     pub fn take_due(&mut self, now: Millis, directory: &Directory) -> Option<Vec<u8>> {
         let leaving_bytes: usize = self.leaving.iter().map(Vec::len).sum();
         let is_due = now >= self.next_due || leaving_bytes > MAX_LEAVING_BYTES;
-        if !is_due || directory.cursor() == self.saved {
+        if !is_due || self.unsynced_ticket.is_some() || directory.cursor() == self.saved {
             return None;
         }
         self.saved = directory.cursor();
@@ -80,6 +82,19 @@
         Some(self.newest.clone())
     }
 
+    /// Must be called with the ticket of each snapshot. Until it is synced no other snapshot is due, so that the snapshots
+    /// that wait for a stalled disk do not add up.
+    pub fn on_written(&mut self, ticket: u64) {
+        self.unsynced_ticket = Some(ticket);
+    }
+
+    /// Handles the sync of all records up to and including a ticket.
+    pub fn on_synced(&mut self, ticket: u64) {
+        if self.unsynced_ticket.is_some_and(|unsynced| unsynced <= ticket) {
+            self.unsynced_ticket = None;
+        }
+    }
+
     /// Returns the stream and bytes of each record that a checkpoint of the journal must keep: the newest snapshot, and
     /// the servers that have begun to leave since.
     pub fn live_records(&self) -> Vec<(u32, Vec<u8>)> {
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -127,6 +127,7 @@
             Event::Persisted { ticket, wants_checkpoint } => {
                 self.shards.on_persisted(now, ticket);
                 self.on_leaving_servers_synced(now, ticket);
+                self.directory_snapshots.on_synced(ticket);
                 self.checkpoint_if(wants_checkpoint, actions);
             }
             Event::DiskDegraded { wants_checkpoint } => {
@@ -266,7 +267,8 @@
 
     fn snapshot_directory(&mut self, now: Millis, actions: &mut Vec<Action>) {
         if let Some(record) = self.directory_snapshots.take_due(now, &self.directory) {
-            self.shards.persist_record(directory_snapshot::STREAM, record, actions);
+            let ticket = self.shards.persist_record(directory_snapshot::STREAM, record, actions);
+            self.directory_snapshots.on_written(ticket);
         }
     }
 }
--- a/coordinator/tests/common/single.rs
+++ b/coordinator/tests/common/single.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// The ticket of the latest records that are not synced; `None` if all are.
+    pub fn unsynced_ticket(&self) -> Option<u64> {
+        self.unsynced
+    }
+
     /// Completes the sync of all persisted records, and from now on syncs records immediately.
     pub fn sync(&mut self) {
         self.syncs = true;
--- a/coordinator/tests/directory_snapshots.rs
+++ b/coordinator/tests/directory_snapshots.rs
@@ -2,12 +2,15 @@
 
 mod common;
 
-use common::{node, START};
+use common::responses::checkpoint;
+use common::single::SingleCoordinator;
+use common::{node, stored, START};
 use shaletrail_cluster::directory::Options;
 use shaletrail_cluster::Directory;
 use shaletrail_coordinator::core::directory_snapshot::{
     DirectorySnapshotWriter, MAX_DIRECTORY_BYTES, STREAM,
 };
+use shaletrail_coordinator::interface::{CallId, Event};
 use shaletrail_protocol::external::{Heartbeat, LoadedModel, ServerState};
 use shaletrail_protocol::internal::Presence;
 use shaletrail_protocol::{Incarnation, Millis};
@@ -90,3 +93,36 @@
     }
     assert_eq!(writer.live_records().len(), 1, "the snapshot contains the servers that leave");
 }
+
+/// Guards against a coordinator that runs out of memory while its disk is stalled: each change of the directory put another
+/// snapshot into the queue of the journal.
+#[test]
+fn stalled_disk_gets_one_directory_snapshot() {
+    const STALL: Millis = 60_000;
+    const HEARTBEAT_INTERVAL: Millis = 500;
+    // given
+    let mut coordinator = SingleCoordinator::leading();
+    coordinator.syncs = false;
+    coordinator.heartbeat("server-0", ServerState::Ready, 1);
+    coordinator.run(2_000);
+    let first = coordinator.unsynced_ticket().expect("a snapshot is written");
+
+    // when
+    for number in 1..(STALL / HEARTBEAT_INTERVAL) as u32 {
+        let heartbeat = large_heartbeat(number, ServerState::Ready);
+        let call = CallId(u64::MAX - u64::from(number));
+        coordinator.handle(Event::Heartbeat { call, id: format!("server-{number}"), heartbeat });
+        coordinator.run(HEARTBEAT_INTERVAL);
+    }
+
+    // then
+    assert_eq!(coordinator.unsynced_ticket(), Some(first), "no further record is queued");
+
+    // and once the disk works again the present directory is written
+    coordinator.sync();
+    coordinator.handle(Event::Persisted { ticket: first, wants_checkpoint: true });
+    let live = checkpoint(&coordinator.actions).expect("a checkpoint is written");
+    let restored = DirectorySnapshotWriter::restore_from(&mut stored(live));
+    let known: Vec<_> = coordinator.core.directory().records().cloned().collect();
+    assert_eq!(restored, known);
+}
