--- a/coordinator/src/core/operator/pending_calls.rs
+++ b/coordinator/src/core/operator/pending_calls.rs
@@ -1,9 +1,9 @@
 //! The table of operator calls that wait for a response.
 //!
 //! A call is only answered from the configuration's shard: by the log entry that its proposal became, or by a read that
-//! a quorum has confirmed, which also answers a change whose outcome is final. A node that does not lead the shard forwards the call to the leader. A call whose outcome is
-//! not known by its deadline is answered `Unavailable`. The operator may retry it at any node, as accepted changes are
-//! recognised by their content.
+//! a quorum has confirmed, which also answers a change whose outcome is final. A node that does not lead the shard
+//! forwards the call to the leader. A call whose outcome is not known by its deadline is answered `Unavailable`. The
+//! operator may retry it at any node, as accepted changes are recognised by their content.
 
 use std::collections::BTreeMap;
 
--- a/dataplane/tests/header_limits.rs
+++ b/dataplane/tests/header_limits.rs
@@ -5,7 +5,6 @@
 use common::http::{Connection, Message};
 use common::{configuration_with_idle_timeout, route, run, updates_since, Edge, Server};
 
-const ROUTES: [(&str, &str, &str); 1] = [("r", "/x/", "idempotent")];
 /// Length of a long head, in bytes: between the lower and the higher limit.
 const LONG_HEAD_BYTES: usize = 6_000;
 /// Longer than a test may take.
@@ -15,7 +14,7 @@
 
 /// A configuration with this limit on the head of a request, in bytes.
 fn with_limit(max_header_bytes: usize) -> String {
-    let routes = ROUTES.map(|(name, path_prefix, kind)| route(name, path_prefix, kind));
+    let routes = [route("r", "/x/", "idempotent")];
     let limit = |bytes: usize| format!(r#""maxHeaderBytes":{bytes}"#);
     configuration_with_idle_timeout(&routes, IDLE_TIMEOUT_MS)
         .replace(&limit(HIGHER_LIMIT), &limit(max_header_bytes))
