--- a/coordinator/tests/common/mod.rs
+++ b/coordinator/tests/common/mod.rs
@@ -67,6 +67,13 @@
     OperatorCall::Change { replace: true, base_version, body: body.as_bytes().to_vec() }
 }
 
+/// A call of the operator that replaces the configuration, with a body of this length.
+pub fn large_replace_call(base_version: u64, version: u64, length: usize) -> OperatorCall {
+    let body = configuration(version, "large.example");
+    let padding = " ".repeat(length - body.len());
+    replace_call(base_version, &(body + &padding))
+}
+
 /// A heartbeat of a server of the service `web`.
 pub fn heartbeat(state: ServerState, sequence: u64) -> Heartbeat {
     let address = "10.0.2.1:8080".to_owned();
--- a/coordinator/tests/full_journals.rs
+++ b/coordinator/tests/full_journals.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::simulated_cluster::SimulatedCluster;
-use common::{configuration, is_done, replace_call};
+use common::{configuration, is_done, large_replace_call, replace_call};
 use shaletrail_coordinator::core::shards::CONFIGURATION;
 use shaletrail_coordinator::interface::{CallId, Event};
 use shaletrail_protocol::internal::{OperatorCall, OperatorResponse};
@@ -20,13 +20,6 @@
 /// Time for an election after the disks work again.
 const ELECTION_MS: Millis = 3_000;
 
-/// A change of this length.
-fn large_change(base_version: u64, version: u64, length: usize) -> OperatorCall {
-    let body = configuration(version, "large.example");
-    let padding = " ".repeat(length - body.len());
-    replace_call(base_version, &(body + &padding))
-}
-
 /// Makes the configuration almost as large as it may be.
 fn commit_largest_configuration(cluster: &mut SimulatedCluster) {
     let base_version = read_version(cluster);
@@ -75,7 +68,7 @@
     cluster.set_stalled(leader, true);
     for number in 0..=CONCURRENT_CHANGES {
         let version = base_version + 1 + number % CONCURRENT_CHANGES;
-        cluster.send_operator_call(leader, &large_change(base_version, version, length));
+        cluster.send_operator_call(leader, &large_replace_call(base_version, version, length));
     }
     cluster.run(REPLICATION_MS);
 }
@@ -156,7 +149,9 @@
     // when
     let changes = 2..2 + CONCURRENT_CHANGES;
     let calls: Vec<CallId> = changes
-        .map(|version| cluster.send_operator_call(leader, &large_change(1, version, LARGE_CHANGE_BYTES)))
+        .map(|version| {
+            cluster.send_operator_call(leader, &large_replace_call(1, version, LARGE_CHANGE_BYTES))
+        })
         .collect();
     cluster.run(REPLICATION_MS);
 
@@ -177,13 +172,13 @@
     let (mut cluster, leader, [failing, other]) = bootstrapped(1);
     cluster.set_checkpoints_fail(failing, true);
     for version in 2..12 {
-        let change = large_change(version - 1, version, LARGE_CHANGE_BYTES);
+        let change = large_replace_call(version - 1, version, LARGE_CHANGE_BYTES);
         assert!(cluster.retry_operator_call(&change).is_some(), "the others acknowledge the change");
     }
     // and: without the other follower the leader's log fills up
     cluster.isolate(other);
     for version in 12..12 + CONCURRENT_CHANGES {
-        cluster.send_operator_call(leader, &large_change(11, version, LARGE_CHANGE_BYTES));
+        cluster.send_operator_call(leader, &large_replace_call(11, version, LARGE_CHANGE_BYTES));
     }
     cluster.run(ELECTION_MS);
     let replica = cluster.replica(leader, CONFIGURATION);
--- a/coordinator/tests/large_changes.rs
+++ b/coordinator/tests/large_changes.rs
@@ -9,7 +9,7 @@
 use std::ops::Range;
 
 use common::simulated_cluster::SimulatedCluster;
-use common::{configuration, replace_call};
+use common::{configuration, large_replace_call, replace_call};
 use shaletrail_coordinator::interface::{CallId, Event};
 use shaletrail_protocol::internal::{OperatorCall, OperatorResponse};
 use shaletrail_protocol::{Millis, NodeId};
@@ -71,10 +71,9 @@
                 CHANGE_BYTES.start + self.cluster.random_below(CHANGE_BYTES.end - CHANGE_BYTES.start);
             let version = self.next_version;
             self.next_version += 1;
-            let body = configuration(version, "large.example");
-            let padding = " ".repeat(length as usize - body.len());
+            let change = large_replace_call(base_version, version, length as usize);
             let at = self.random_node();
-            let call = self.cluster.send_operator_call(at, &replace_call(base_version, &(body + &padding)));
+            let call = self.cluster.send_operator_call(at, &change);
             self.sent.insert(call, version);
         }
     }
