--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -69,7 +69,7 @@
 start() { # ADDRESS BOOTSTRAP
   settings "$1" "$2"
   mkdir -p "$work/$1"
-  "$program" coordinator --settings "$work/$1.conf" >> "$work/$1.log" 2>&1 &
+  SHALETRAIL_BOOT="$work/$1.conf" "$program" coordinator >> "$work/$1.log" 2>&1 &
   pid[$1]=$!
 }
 call() { # ADDRESS METHOD PATH BASE BODY: prints the status line and the last line of the answer, or "no answer"
