Choose voters by zone and region, so that a tolerated loss leaves a majority

Cause: faultTolerance.zones and .regions were not read, and voters joined in the order of addresses, so that three of five stood in one zone. Their loss left two voters and three recovering ones, which count for nothing before a leader readmits them.

Invariant now: no loss that faultTolerance names takes more than a minority of either half of the voters (coordinator/src/core/voters/tolerance.rs, a pure function of voters, places and tolerance). A move is made only if it makes a stated shortfall smaller (selection.rs); several voters may change in one joint phase, as four voters with two in one zone are worse than three. Voters number 2n+1 for the largest n of machines, zones and regions. countsForQuorum=false never votes; without the key a machine counts, as all did while nothing read it, so the default of the setting is true now and its test says so.

Places are exchanged among all coordinators and stored on their disks (cluster/src/node_attributes.rs).

Why it works: any zone holds at most two of five voters, each acknowledged entry is on three.

--- a/capacity-emulator/src/coordinator_node.rs
+++ b/capacity-emulator/src/coordinator_node.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use shaletrail_coordinator::core::{directory_snapshot, Coordinator};
-use shaletrail_coordinator::interface::{Action, CallId, CoordinatorOptions, Event, OrderId};
+use shaletrail_coordinator::interface::{Action, CallId, CoordinatorOptions, Event, NodeAttributes, OrderId};
 use shaletrail_protocol::external::{Heartbeat, Order};
 use shaletrail_protocol::frame;
 use shaletrail_protocol::internal::{
@@ -21,7 +21,7 @@
 use crate::events::{CoordinatorEvent, EdgeEvent, ScheduledEvent, ServerEvent};
 use crate::frames::decode;
 use crate::journal::{size_of_records, Journal};
-use crate::topology::{latency, zone_of};
+use crate::topology::{latency, region_of, zone_of};
 use crate::usage::ResourceUsage;
 
 /// Clock value at which a process starts, as in the production driver.
@@ -125,7 +125,8 @@
             bootstrap,
             journal_was_erased: false,
             checkpoint_bytes: shaletrail_storage::Options::default().checkpoint_bytes(),
-            tolerated_host_losses: environment.options.tolerated_host_losses,
+            attributes: node_attributes(self.index),
+            fault_tolerance: environment.options.fault_tolerance,
             heartbeat_interval: Duration::from_millis(environment.options.heartbeat_ms),
             order_lease: ORDER_LEASE_DURATION,
             placement: shaletrail_placement::Options::default(),
@@ -408,3 +409,9 @@
 fn stored(records: Vec<(u32, Vec<u8>)>) -> Vec<StoredRecord> {
     records.into_iter().map(|(stream, bytes)| StoredRecord { stream, bytes }).collect()
 }
+
+/// The attributes of the coordinator with this index.
+fn node_attributes(index: usize) -> NodeAttributes {
+    let zone = zone_of(index);
+    NodeAttributes::new(&format!("zone-{zone}"), &format!("region-{}", region_of(zone)), true)
+}
--- a/capacity-emulator/src/options.rs
+++ b/capacity-emulator/src/options.rs
@@ -1,5 +1,6 @@
 //! Sizes and rates of a run.
 
+use shaletrail_protocol::settings::FaultTolerance;
 use shaletrail_protocol::Millis;
 
 /// The number of models at the target size of the fleet.
@@ -35,8 +36,8 @@
     pub servers: usize,
     /// The number of coordinators.
     pub coordinators: usize,
-    /// The number of machines that may fail at the same time. The number of voting coordinators is twice this plus one.
-    pub tolerated_host_losses: u32,
+    /// The losses of coordinators that may occur at the same time.
+    pub fault_tolerance: FaultTolerance,
     /// The number of services. Models and servers are spread evenly over them.
     pub services: usize,
     /// The total number of models.
@@ -68,7 +69,7 @@
             routing_edges: edges,
             servers,
             coordinators,
-            tolerated_host_losses: 2,
+            fault_tolerance: FaultTolerance { hosts: 2, zones: 0, regions: 0 },
             services: 4,
             models: TARGET_MODELS.min(servers),
             routes: 400,
--- a/capacity-emulator/src/topology.rs
+++ b/capacity-emulator/src/topology.rs
@@ -16,11 +16,16 @@
     index % ZONES
 }
 
+/// The region of a zone.
+pub fn region_of(zone: usize) -> usize {
+    zone / ZONES_PER_REGION
+}
+
 /// The one-way latency between two zones, in milliseconds.
 pub fn latency(from: usize, to: usize) -> Millis {
     if from == to {
         INTRA_ZONE_LATENCY_MS
-    } else if from / ZONES_PER_REGION == to / ZONES_PER_REGION {
+    } else if region_of(from) == region_of(to) {
         INTER_ZONE_LATENCY_MS
     } else {
         INTER_REGION_LATENCY_MS
--- a/coordinator/src/core/disk.rs
+++ b/coordinator/src/core/disk.rs
@@ -3,7 +3,7 @@
 
 use shaletrail_protocol::Millis;
 
-use super::Coordinator;
+use super::{node_attributes, Coordinator};
 use crate::interface::Action;
 
 /// How long a disk counts as degraded after the last [`DiskDegraded`](crate::interface::Event::DiskDegraded) event.
@@ -58,6 +58,7 @@
         self.checkpoint_retry_at = None;
         let mut live = self.shards.live_records();
         live.extend(self.directory_snapshots.live_records());
+        live.extend(self.node_attributes.live_record().map(|table| (node_attributes::STREAM, table)));
         actions.push(Action::Checkpoint { live });
     }
 }
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod directory_snapshot;
 mod disk;
 pub mod lease_state;
+pub mod node_attributes;
 pub mod operator;
 pub mod orders;
 mod peer_versions;
@@ -22,7 +23,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use shaletrail_cluster::directory::{self, CallToken, Directory};
-use shaletrail_cluster::{membership, Membership};
+use shaletrail_cluster::{membership, Membership, NodeAttributesTable};
 use shaletrail_protocol::internal::CoordinatorMessage;
 use shaletrail_protocol::{Millis, NodeId};
 use shaletrail_storage::StoredRecord;
@@ -36,11 +37,13 @@
 use polls::PendingPolls;
 use server_calls::LeavingSync;
 use shards::Shards;
+use voters::LoggedAssessments;
 
 /// The sans-IO state machine of a coordinator.
 pub struct Coordinator {
     options: CoordinatorOptions,
     membership: Membership,
+    node_attributes: NodeAttributesTable,
     directory: Directory,
     directory_snapshots: DirectorySnapshotWriter,
     shards: Shards,
@@ -65,6 +68,7 @@
     /// When a failed checkpoint is written again; `None` if none has failed since the last attempt.
     checkpoint_retry_at: Option<Millis>,
     next_voter_review: Millis,
+    logged_assessments: LoggedAssessments,
     /// The configuration version that was last passed to the order leases and logged.
     last_applied_version: u64,
     /// Actions from the recovery at start, returned with the first event.
@@ -77,6 +81,13 @@
     pub fn new(options: CoordinatorOptions, mut stored: Vec<StoredRecord>, now: Millis) -> Self {
         let mut startup_actions = Vec::new();
         let known_servers = DirectorySnapshotWriter::restore_from(&mut stored);
+        let known_attributes = node_attributes::restore_from(&mut stored);
+        let node_attributes = NodeAttributesTable::new(
+            options.node,
+            options.incarnation,
+            options.attributes.clone(),
+            known_attributes,
+        );
         let shards = Shards::new(&options, stored, now, &mut startup_actions);
         let membership_options = membership::Options::default();
         let membership =
@@ -91,6 +102,7 @@
         let order_leases = OrderLeases::new(&options);
         Coordinator {
             membership,
+            node_attributes,
             directory,
             directory_snapshots: DirectorySnapshotWriter::default(),
             shards,
@@ -108,6 +120,7 @@
             disk_degraded_until: 0,
             checkpoint_retry_at: None,
             next_voter_review: now,
+            logged_assessments: LoggedAssessments::default(),
             last_applied_version: 0,
             startup_actions,
             options,
@@ -203,6 +216,9 @@
     fn receive(&mut self, now: Millis, from: NodeId, message: CoordinatorMessage, actions: &mut Vec<Action>) {
         match message {
             CoordinatorMessage::Membership(message) => self.membership.receive(now, from, message),
+            CoordinatorMessage::Shard { shard: node_attributes::STREAM, body } => {
+                self.receive_node_attributes(now, from, &body)
+            }
             CoordinatorMessage::Shard { shard, body } => self.shards.receive(now, from, shard, &body),
             CoordinatorMessage::Directory { body } => self.receive_directory(now, from, &body, actions),
             CoordinatorMessage::DirectoryAck { batch } => {
@@ -226,6 +242,7 @@
     fn reconcile(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.update_quorum_contact(now, actions);
         self.update_peers(now, actions);
+        self.exchange_node_attributes(now, actions);
         self.update_voters(now, actions);
         self.advance_operator_calls(now, actions);
         self.process_shards(now, actions);
--- a/coordinator/src/core/shards/limits.rs
+++ b/coordinator/src/core/shards/limits.rs
@@ -10,6 +10,7 @@
 //! | snapshot of the configuration | [`MAX_CONFIGURATION_SNAPSHOT_BYTES`] |
 //! | applied entries that no snapshot covers yet | [`COMPACT_BYTES`] |
 //! | the directory of servers | [`MAX_DIRECTORY_BYTES`] |
+//! | the attributes of all coordinators | [`MAX_TABLE_BYTES`] |
 //! | snapshots and entries of all service shards | [`MAX_SERVICE_SHARDS_BYTES`] |
 //! | uncommitted entries of the configuration's shard | [`max_uncommitted_bytes`] |
 //!
@@ -20,6 +21,7 @@
 
 use super::{CONFIGURATION, SERVICE_SHARDS};
 use crate::core::directory_snapshot::MAX_DIRECTORY_BYTES;
+use crate::core::node_attributes::MAX_TABLE_BYTES;
 
 /// Maximum size of the parts of a configuration's snapshot other than its items: accepted changes, recently changed
 /// items and voters.
@@ -37,7 +39,10 @@
     if shard != CONFIGURATION {
         return MAX_SERVICE_SHARDS_BYTES / SERVICE_SHARDS as usize;
     }
-    let others =
-        MAX_CONFIGURATION_SNAPSHOT_BYTES + COMPACT_BYTES + MAX_DIRECTORY_BYTES + MAX_SERVICE_SHARDS_BYTES;
+    let others = MAX_CONFIGURATION_SNAPSHOT_BYTES
+        + COMPACT_BYTES
+        + MAX_DIRECTORY_BYTES
+        + MAX_TABLE_BYTES
+        + MAX_SERVICE_SHARDS_BYTES;
     checkpoint_bytes.saturating_sub(others)
 }
--- a/coordinator/src/core/shutdown.rs
+++ b/coordinator/src/core/shutdown.rs
@@ -19,8 +19,8 @@
 
     fn is_awaiting_replacement(&self) -> bool {
         let node = self.options.node;
-        let others: Vec<NodeId> =
-            self.membership.alive().into_iter().filter(|other| *other != node).collect();
+        let may_vote = |other: &NodeId| *other != node && self.node_attributes.counts_for_quorum(*other);
+        let others: Vec<NodeId> = self.membership.alive().into_iter().filter(may_vote).collect();
         self.shards.numbers().filter_map(|shard| self.shards.get(shard)).any(|shard| {
             let voters = shard.replica.voters();
             let may_be_replaced =
--- a/coordinator/src/driver/coordinator_driver/log.rs
+++ b/coordinator/src/driver/coordinator_driver/log.rs
@@ -4,6 +4,7 @@
 use shaletrail_storage::WriterEvent;
 use slog::{debug, info, o, warn, Logger};
 
+use crate::core::voters::tolerance::LossAssessment;
 use crate::driver::order_client::OutgoingOrder;
 use crate::interface::{OrderOutcome, StateChange};
 
@@ -24,6 +25,9 @@
             let voters: Vec<String> = target_voters.iter().map(ToString::to_string).collect();
             info!(log, "changing voters of shard"; "shard" => shard, "target_voters" => voters.join(","))
         }
+        StateChange::FaultToleranceChanged { shard, assessment } => {
+            log_fault_tolerance(log, *shard, assessment)
+        }
         StateChange::OrderLeaseAcquired { shard, fencing_token } => {
             info!(log, "acquired order lease of shard"; "shard" => shard, "fencing_token" => fencing_token)
         }
@@ -39,6 +43,17 @@
     }
 }
 
+fn log_fault_tolerance(log: &Logger, shard: u32, assessment: &LossAssessment) {
+    let log = log.new(o!("shard" => shard, "voters" => assessment.voters, "minority" => assessment.minority,
+        "lost_with_hosts" => assessment.lost_with_hosts, "lost_with_zones" => assessment.lost_with_zones,
+        "lost_with_regions" => assessment.lost_with_regions));
+    if assessment.is_tolerated() {
+        info!(log, "voters of shard withstand the tolerated losses");
+    } else {
+        warn!(log, "voters of shard do not withstand the tolerated losses");
+    }
+}
+
 /// Logs an order with its outcome. The outcomes busy and already done are logged as info instead of debug: they show
 /// that the server has accepted an order that this coordinator did not know about.
 pub(super) fn log_order(log: &Logger, outgoing: &OutgoingOrder, outcome: OrderOutcome) {
--- a/coordinator/src/interface.rs
+++ b/coordinator/src/interface.rs
@@ -3,14 +3,18 @@
 
 use std::time::Duration;
 
+pub use shaletrail_cluster::node_attributes::NodeAttributes;
 pub use shaletrail_placement::OrderOutcome;
 use shaletrail_protocol::external::{Heartbeat, Order, ServerReport};
 use shaletrail_protocol::internal::{
     CoordinatorMessage, Demand, EdgeIdentity, OperatorCall, OperatorResponse, PollRequest, PollResponse,
 };
-use shaletrail_protocol::settings::Settings;
+use shaletrail_protocol::settings::{FaultTolerance, Settings};
 use shaletrail_protocol::{Incarnation, NodeId, ServerId};
 
+use crate::core::node_attributes;
+use crate::core::voters::tolerance::LossAssessment;
+
 /// Identifies a call that needs a response. The driver assigns it and never reuses it during the life of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId(pub u64);
@@ -37,8 +41,10 @@
     pub journal_was_erased: bool,
     /// Size of a checkpoint that always fits into this node's journal, in bytes.
     pub checkpoint_bytes: usize,
-    /// Number of coordinators that may be lost at once; `2 * tolerated_host_losses + 1` of them vote.
-    pub tolerated_host_losses: u32,
+    /// Where this machine stands, and whether it may vote.
+    pub attributes: NodeAttributes,
+    /// The losses that may occur at once; they determine the number of voters and their places.
+    pub fault_tolerance: FaultTolerance,
     /// Interval between consecutive heartbeats of a server.
     pub heartbeat_interval: Duration,
     /// Minimum time between the last order of a lease holder and the first order of the next one.
@@ -63,7 +69,8 @@
             bootstrap: settings.bootstrap,
             journal_was_erased: false,
             checkpoint_bytes: journal_options.checkpoint_bytes(),
-            tolerated_host_losses: settings.tolerated_host_losses,
+            attributes: node_attributes::from_settings(settings),
+            fault_tolerance: settings.fault_tolerance,
             heartbeat_interval: settings.heartbeat_interval,
             order_lease: settings.bounds.lease,
             retry_window: settings.bounds.retry_window,
@@ -262,6 +269,14 @@
         /// The voters after the change.
         target_voters: Vec<NodeId>,
     },
+    /// The losses that the voters of a shard withstand have changed, as seen by this node, its leader. Logged only if the
+    /// losses that the settings name were not all tolerated before, or are not any more.
+    FaultToleranceChanged {
+        /// The shard.
+        shard: u32,
+        /// What the present voters withstand.
+        assessment: LossAssessment,
+    },
     /// This node has acquired the order lease of a service shard.
     OrderLeaseAcquired {
         /// The shard.
--- a/coordinator/tests/common/mod.rs
+++ b/coordinator/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a different part")]
 
 pub mod cluster;
+pub mod deployment;
 pub mod journal_disk;
 pub mod responses;
 pub mod simulated_cluster;
@@ -17,6 +18,7 @@
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
 use shaletrail_storage::StoredRecord;
 
+pub use deployment::Deployment;
 pub use responses::is_done;
 
 /// Interval between ticks.
@@ -34,19 +36,32 @@
     numbers.iter().map(|number| node(*number)).collect()
 }
 
-/// Options of a coordinator, parsed from the text of a settings file.
+/// Options of a coordinator in a deployment with a single zone, parsed from the text of a settings file.
 pub fn coordinator_options(
     node: NodeId,
     seeds: &[NodeId],
     bootstrap: bool,
     hosts_lost: usize,
     incarnation: Incarnation,
+) -> CoordinatorOptions {
+    let deployment = Deployment::single_zone(hosts_lost);
+    deployment_options(&deployment, node, seeds, bootstrap, incarnation)
+}
+
+/// Options of a coordinator in a deployment, parsed from the text of a settings file.
+pub fn deployment_options(
+    deployment: &Deployment,
+    node: NodeId,
+    seeds: &[NodeId],
+    bootstrap: bool,
+    incarnation: Incarnation,
 ) -> CoordinatorOptions {
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:8146")).collect();
     let text = format!(
-        "nodeName=core\nip={node}\nzone=a\nephemeralPorts=7660,7675\nseedNodes={}\nbootstrap={bootstrap}\n\
-         faultTolerance.hostsLost={hosts_lost}\nheartbeatMs=1200\n",
+        "nodeName=core\nip={node}\nephemeralPorts=7660,7675\nseedNodes={}\nbootstrap={bootstrap}\n\
+         heartbeatMs=1200\n{}",
         seeds.join(","),
+        deployment.settings_lines(node),
     );
     let settings: Settings = text.parse().expect("the settings are valid");
     CoordinatorOptions::from_settings(&settings, incarnation)
--- a/coordinator/tests/common/simulated_cluster.rs
+++ b/coordinator/tests/common/simulated_cluster.rs
@@ -11,7 +11,7 @@
 use shaletrail_storage::StoredRecord;
 
 use super::journal_disk::JournalDisk;
-use super::{configuration, coordinator_options, node, replace_call, stored, START, TICK};
+use super::{configuration, deployment_options, replace_call, stored, Deployment, START, TICK};
 
 /// Step width of the simulated clock.
 const STEP: Millis = 5;
@@ -19,8 +19,6 @@
 const OPERATOR_TIMEOUT: Millis = 1_000;
 /// How long the operator retries a call.
 const OPERATOR_RETRY_PERIOD: Millis = 8_000;
-/// Number of machines that are named as seeds during the bootstrap.
-const SEEDS: usize = 3;
 /// Maximum time between the first and the last start of a machine during the bootstrap.
 const BOOTSTRAP_SPREAD: Millis = 300;
 /// Longest time that a sync takes on a normal disk, in milliseconds.
@@ -80,7 +78,7 @@
     pub delivery_filter: Option<DeliveryFilter>,
     /// The newest configuration version that was acknowledged to the operator.
     acknowledged_version: u64,
-    hosts_lost: usize,
+    pub deployment: Deployment,
     /// Whether the machines have real journals.
     has_journals: bool,
     /// Sorted by the time of delivery, then by the order of sending.
@@ -97,42 +95,55 @@
     /// Bootstraps machines 1 to `2 * hosts_lost + 1`, which start in a random order with the first three as seeds,
     /// until all are voters and a first configuration is acknowledged.
     pub fn bootstrapped(hosts_lost: usize, seed: u64) -> SimulatedCluster {
-        SimulatedCluster::empty(hosts_lost, seed).bootstrap()
+        SimulatedCluster::empty(Deployment::single_zone(hosts_lost), seed).bootstrap_all_as_voters()
+    }
+
+    /// Bootstraps the machines of a deployment, which start in a random order, until a first configuration is
+    /// acknowledged.
+    pub fn bootstrapped_in(deployment: Deployment, seed: u64) -> SimulatedCluster {
+        let mut cluster = SimulatedCluster::empty(deployment, seed);
+        cluster.bootstrap();
+        cluster
     }
 
     /// Like [`SimulatedCluster::bootstrapped`], with a real journal on the disk of each machine.
     pub fn bootstrapped_with_journals(hosts_lost: usize, seed: u64) -> SimulatedCluster {
-        SimulatedCluster { has_journals: true, ..SimulatedCluster::empty(hosts_lost, seed) }.bootstrap()
+        let cluster = SimulatedCluster::empty(Deployment::single_zone(hosts_lost), seed);
+        SimulatedCluster { has_journals: true, ..cluster }.bootstrap_all_as_voters()
     }
 
-    fn bootstrap(self) -> SimulatedCluster {
+    fn bootstrap_all_as_voters(self) -> SimulatedCluster {
         let mut cluster = self;
-        let hosts_lost = cluster.hosts_lost;
-        let voters: Vec<NodeId> = (1..=2 * hosts_lost as u8 + 1).map(node).collect();
-        let mut starting = voters.clone();
+        cluster.bootstrap();
+        cluster.await_voters(&cluster.deployment.machines.clone());
+        cluster
+    }
+
+    fn bootstrap(&mut self) {
+        let mut starting = self.deployment.machines.clone();
+        let longest_pause = BOOTSTRAP_SPREAD / starting.len() as u64;
         while !starting.is_empty() {
-            let next = cluster.random_below(starting.len() as u64) as usize;
+            let next = self.random_below(starting.len() as u64) as usize;
             let started = starting.swap_remove(next);
-            let mut seeds = voters[..SEEDS].to_vec();
-            seeds.rotate_left(next % SEEDS);
-            cluster.add(started, &seeds);
-            cluster.start_as(started, true);
-            let pause = cluster.random_below(BOOTSTRAP_SPREAD / voters.len() as u64);
-            cluster.run(pause);
+            let mut seeds = self.deployment.seeds.clone();
+            let turns = next % seeds.len();
+            seeds.rotate_left(turns);
+            self.add(started, &seeds);
+            self.start_as(started, true);
+            let pause = self.random_below(longest_pause);
+            self.run(pause);
         }
-        cluster.commit_change();
-        cluster.await_voters(&voters);
-        cluster
+        self.commit_change();
     }
 
-    fn empty(hosts_lost: usize, seed: u64) -> SimulatedCluster {
+    fn empty(deployment: Deployment, seed: u64) -> SimulatedCluster {
         SimulatedCluster {
             now: START,
             machines: BTreeMap::new(),
             partitions: BTreeSet::new(),
             delivery_filter: None,
             acknowledged_version: 0,
-            hosts_lost,
+            deployment,
             has_journals: false,
             in_flight: BTreeMap::new(),
             responses: BTreeMap::new(),
@@ -218,7 +229,7 @@
         let seeds = &self.machines[&node].seeds;
         let options = CoordinatorOptions {
             journal_was_erased: self.machines[&node].was_erased,
-            ..coordinator_options(node, seeds, bootstrap, self.hosts_lost, incarnation)
+            ..deployment_options(&self.deployment, node, seeds, bootstrap, incarnation)
         };
         let now = self.now;
         let first_tick = now + self.random_below(TICK);
--- a/coordinator/tests/desired_voters.rs
+++ b/coordinator/tests/desired_voters.rs
@@ -3,44 +3,48 @@
 mod common;
 
 use common::{node, nodes};
-use shaletrail_coordinator::core::voters::{desired_voters, voter_count, Candidate};
+use shaletrail_coordinator::core::voters::selection::{desired_voters, Candidate};
+use shaletrail_protocol::settings::FaultTolerance;
 
-fn caught_up(number: u8) -> Candidate {
-    Candidate { node: node(number), unreachable: false, caught_up: true }
+/// One machine may be lost, so that three are to vote.
+const ONE_HOST: FaultTolerance = FaultTolerance { hosts: 1, zones: 0, regions: 0 };
+
+fn caught_up(number: u8) -> Candidate<'static> {
+    Candidate { node: node(number), unreachable: false, caught_up: true, attributes: None }
 }
 
-fn lagging(number: u8) -> Candidate {
-    Candidate { node: node(number), unreachable: false, caught_up: false }
+fn lagging(number: u8) -> Candidate<'static> {
+    Candidate { caught_up: false, ..caught_up(number) }
 }
 
-fn unreachable(number: u8) -> Candidate {
-    Candidate { node: node(number), unreachable: true, caught_up: false }
+fn unreachable(number: u8) -> Candidate<'static> {
+    Candidate { unreachable: true, ..lagging(number) }
 }
 
 #[test]
 fn caught_up_node_is_added() {
     let candidates = [caught_up(1), caught_up(2), lagging(3)];
-    assert_eq!(desired_voters(&nodes(&[1]), &candidates, 3), Some(nodes(&[1, 2])));
-    assert_eq!(desired_voters(&nodes(&[1, 2]), &candidates, 3), None, "the third has not caught up");
+    assert_eq!(desired_voters(&nodes(&[1]), &candidates, ONE_HOST), Some(nodes(&[1, 2])));
+    assert_eq!(desired_voters(&nodes(&[1, 2]), &candidates, ONE_HOST), None, "the third has not caught up");
 }
 
 #[test]
 fn unreachable_voter_stays_without_replacement() {
     let candidates = [caught_up(1), unreachable(2), caught_up(3)];
-    assert_eq!(desired_voters(&nodes(&[1, 2, 3]), &candidates, 3), None);
+    assert_eq!(desired_voters(&nodes(&[1, 2, 3]), &candidates, ONE_HOST), None);
     let with_learner = [&candidates[..], &[caught_up(4)]].concat();
-    assert_eq!(desired_voters(&nodes(&[1, 2, 3]), &with_learner, 3), Some(nodes(&[1, 3, 4])));
+    assert_eq!(desired_voters(&nodes(&[1, 2, 3]), &with_learner, ONE_HOST), Some(nodes(&[1, 3, 4])));
 }
 
 #[test]
 fn complete_group_is_unchanged() {
     let candidates: Vec<Candidate> = (1..=4).map(caught_up).collect();
-    assert_eq!(desired_voters(&nodes(&[1, 2, 3]), &candidates, voter_count(1)), None);
+    assert_eq!(desired_voters(&nodes(&[1, 2, 3]), &candidates, ONE_HOST), None);
 }
 
 #[test]
 fn unreachable_candidate_is_not_added() {
     let unreachable_but_caught_up = Candidate { unreachable: true, ..caught_up(4) };
     let candidates = [caught_up(1), unreachable(2), unreachable_but_caught_up];
-    assert_eq!(desired_voters(&nodes(&[1, 2, 3]), &candidates, 3), None);
+    assert_eq!(desired_voters(&nodes(&[1, 2, 3]), &candidates, ONE_HOST), None);
 }
--- a/coordinator/tests/stored_format.rs
+++ b/coordinator/tests/stored_format.rs
@@ -20,6 +20,7 @@
 use shaletrail_coordinator::core::demand::edge_list_hash;
 use shaletrail_coordinator::core::directory_snapshot::{DirectorySnapshotWriter, STREAM};
 use shaletrail_coordinator::core::lease_state::{LeaseEpoch, LeaseHolder, LeaseState};
+use shaletrail_coordinator::core::node_attributes;
 use shaletrail_coordinator::core::shards::{shard_of, CONFIGURATION, SERVICE_SHARDS};
 use shaletrail_coordinator::interface::{Action, Event, OrderOutcome, StateChange};
 use shaletrail_protocol::external::{Heartbeat, LoadedModel, ServerState};
@@ -111,6 +112,7 @@
 #[test]
 fn streams_and_shards_keep_their_numbers() {
     assert_eq!((CONFIGURATION, SERVICE_SHARDS, STREAM), (0, 2, 1_000));
+    assert_eq!(node_attributes::STREAM, 1_002);
     let shards = ["chat", "web", "search", "service-0", "service-1", "service-2", "service-3"].map(shard_of);
     assert_eq!(shards, [1, 1, 1, 1, 2, 1, 1]);
 }
--- a/model-checker/src/order_leadership.rs
+++ b/model-checker/src/order_leadership.rs
@@ -5,7 +5,8 @@
 use shaletrail_consensus::Term;
 use shaletrail_coordinator::core::lease_state::LeaseEpoch;
 use shaletrail_coordinator::core::orders::OrderLeases;
-use shaletrail_coordinator::interface::CoordinatorOptions;
+use shaletrail_coordinator::interface::{CoordinatorOptions, NodeAttributes};
+use shaletrail_protocol::settings::FaultTolerance;
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
 
 use crate::group_options::ORDER_LEASE_MS;
@@ -68,7 +69,8 @@
         bootstrap: false,
         journal_was_erased: false,
         checkpoint_bytes: CHECKPOINT_BYTES,
-        tolerated_host_losses: 1,
+        attributes: NodeAttributes::default(),
+        fault_tolerance: FaultTolerance { hosts: 1, zones: 0, regions: 0 },
         heartbeat_interval: Duration::from_secs(1),
         order_lease: Duration::from_millis(ORDER_LEASE_MS),
         retry_window: Duration::from_secs(10),
--- a/protocol/src/settings.rs
+++ b/protocol/src/settings.rs
@@ -6,10 +6,11 @@
 
 mod bounds;
 mod error;
+mod fault_tolerance;
 mod limits;
 mod lines;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
@@ -19,11 +20,12 @@
 
 pub use bounds::Bounds;
 pub use error::SettingsError;
+pub use fault_tolerance::{FaultTolerance, TooFewDomains};
 pub use limits::MachineLimits;
 
 use crate::NodeId;
 use error::{InvalidValueSnafu, MissingKeySnafu, ReadFileSnafu};
-use lines::{SettingsLines, BOOLEAN, MILLISECOND, SOCKET_ADDRESS, WHOLE_NUMBER};
+use lines::{SettingsLines, BOOLEAN, MILLISECOND, SOCKET_ADDRESS};
 
 /// The environment variable that holds the path of the settings file.
 pub const SETTINGS_PATH_VARIABLE: &str = "SHALETRAIL_BOOT";
@@ -54,15 +56,15 @@
     /// Whether the whole system starts for the first time, so that the seeds become the first voters of its replica
     /// groups.
     pub bootstrap: bool,
-    /// Whether the machine is one of those to which `tolerated_host_losses` applies.
+    /// Whether the machine is one of those to which `fault_tolerance` applies. Of the others any number may be lost, so
+    /// that they do not vote.
     pub counts_for_quorum: bool,
     /// The directory of the journal. Needed by coordinators, which have a disk.
     pub data_dir: Option<PathBuf>,
     /// The interval between two heartbeats of a server.
     pub heartbeat_interval: Duration,
-    /// The number of machines that may fail at the same time without loss of service: replica groups have
-    /// `2 * tolerated_host_losses + 1` voters.
-    pub tolerated_host_losses: u32,
+    /// The losses that may occur at the same time without loss of service.
+    pub fault_tolerance: FaultTolerance,
     /// The resources that the process may use.
     pub limits: MachineLimits,
     /// The time limits and ratios that the operator requires the system to meet.
@@ -83,6 +85,21 @@
         NodeId::from(self.ip)
     }
 
+    /// The region of this machine: `region`, or the region that `zones` gives for its zone; empty if neither is set.
+    pub fn own_region(&self) -> &str {
+        if self.region.is_empty() {
+            return self.zones.get(&self.zone).map_or("", String::as_str);
+        }
+        &self.region
+    }
+
+    /// The tolerated losses that no placement of voters can withstand, because the file names too few zones or regions.
+    /// Empty if the file names no zones.
+    pub fn unattainable_tolerances(&self) -> Vec<TooFewDomains> {
+        let regions: BTreeSet<&String> = self.zones.values().collect();
+        self.fault_tolerance.unattainable(self.zones.len(), regions.len())
+    }
+
     /// The port on which coordinators accept connections from other nodes. It is the same on all coordinators.
     pub fn internal_port(&self) -> u16 {
         self.ephemeral_ports.0
@@ -112,10 +129,10 @@
             ephemeral_ports: parse_port_range(&lines)?,
             seeds: lines.list("seedNodes", "addresses, IP:PORT, with commas between them")?,
             bootstrap: lines.with_default("bootstrap", BOOLEAN, false)?,
-            counts_for_quorum: lines.with_default("countsForQuorum", BOOLEAN, false)?,
+            counts_for_quorum: lines.with_default("countsForQuorum", BOOLEAN, true)?,
             data_dir: lines.value("dataDir").map(PathBuf::from),
             heartbeat_interval: lines.duration("heartbeatMs", MILLISECOND, 1000.0)?,
-            tolerated_host_losses: lines.with_default("faultTolerance.hostsLost", WHOLE_NUMBER, 1)?,
+            fault_tolerance: FaultTolerance::parse(&lines)?,
             limits: MachineLimits::parse(&lines)?,
             bounds: Bounds::parse(&lines)?,
         })
--- a/protocol/tests/settings.rs
+++ b/protocol/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use shaletrail_protocol::settings::Settings;
+use shaletrail_protocol::settings::{FaultTolerance, Settings};
 
 const COORDINATOR_SETTINGS: &str = "\
 nodeName=core-a-1
@@ -38,7 +38,7 @@
     assert_eq!(settings.heartbeat_interval, Duration::from_millis(1200));
     assert_eq!(settings.bounds.drain, Duration::from_millis(2500));
     assert_eq!(settings.bounds.retry_ratio, 0.2);
-    assert_eq!(settings.tolerated_host_losses, 2);
+    assert_eq!(settings.fault_tolerance, FaultTolerance { hosts: 2, zones: 0, regions: 0 });
     assert_eq!(settings.internal_port(), 7660);
     assert_eq!(settings.zones.len(), 2);
     assert!(settings.bootstrap && settings.counts_for_quorum && !settings.bounds.fencing);
--- a/protocol/tests/settings_keys.rs
+++ b/protocol/tests/settings_keys.rs
@@ -7,7 +7,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use shaletrail_protocol::settings::{Bounds, MachineLimits, Settings, SettingsError, SETTINGS_PATH_VARIABLE};
+use shaletrail_protocol::settings::{
+    Bounds, FaultTolerance, MachineLimits, Settings, SettingsError, SETTINGS_PATH_VARIABLE,
+};
 
 /// All keys, each with a value that differs from all other values and from its default.
 const ALL_KEYS: &str = "\
@@ -27,6 +29,8 @@
 dataDir=/data/core
 heartbeatMs=1201
 faultTolerance.hostsLost=2
+faultTolerance.zones=3
+faultTolerance.regions=4
 limits.memoryMb=301
 limits.maxFds=302
 limits.linkMbps=303.5
@@ -103,7 +107,7 @@
         counts_for_quorum: true,
         data_dir: Some("/data/core".into()),
         heartbeat_interval: milliseconds(1201),
-        tolerated_host_losses: 2,
+        fault_tolerance: FaultTolerance { hosts: 2, zones: 3, regions: 4 },
         limits: MachineLimits { memory_mb: 301, max_fds: 302, link_mbps: 303.5, disk_mb: 304 },
         bounds,
     };
@@ -145,10 +149,10 @@
         ephemeral_ports: (7660, 7675),
         seeds: Vec::new(),
         bootstrap: false,
-        counts_for_quorum: false,
+        counts_for_quorum: true,
         data_dir: None,
         heartbeat_interval: seconds(1),
-        tolerated_host_losses: 1,
+        fault_tolerance: FaultTolerance { hosts: 1, zones: 0, regions: 0 },
         limits: MachineLimits { memory_mb: 256, max_fds: 1024, link_mbps: 1000.0, disk_mb: 0 },
         bounds,
     };
@@ -184,6 +188,8 @@
         ("listenersMap.controlPlane=c", "listenersMap.controlPlane: 'c' found, expected IP:PORT"),
         ("countsForQuorum=1", "countsForQuorum: '1' found, expected true or false"),
         ("faultTolerance.hostsLost=-1", "faultTolerance.hostsLost: '-1' found, expected a whole number"),
+        ("faultTolerance.zones=a", "faultTolerance.zones: 'a' found, expected a whole number"),
+        ("faultTolerance.regions=1.5", "faultTolerance.regions: '1.5' found, expected a whole number"),
         ("limits.memoryMb=x", "limits.memoryMb: 'x' found, expected a whole number"),
         ("limits.maxFds=y", "limits.maxFds: 'y' found, expected a whole number"),
         ("limits.linkMbps=-2", "limits.linkMbps: '-2' found, expected a number of 0 or more"),
