--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -194,6 +194,11 @@
         &self.directory
     }
 
+    /// Returns what this node knows about the places of all coordinators.
+    pub fn node_attributes(&self) -> &NodeAttributesTable {
+        &self.node_attributes
+    }
+
     /// Returns whether an order may be written to its server at `now`. The driver calls this immediately before it
     /// writes the bytes to the socket.
     pub fn may_write(&self, now: Millis, order: OrderId) -> bool {
--- a/coordinator/tests/common/deployment.rs
+++ b/coordinator/tests/common/deployment.rs
@@ -1,6 +1,6 @@
 //! Where the machines of a simulated deployment stand, and which losses its settings ask to tolerate.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
 use shaletrail_protocol::NodeId;
@@ -69,6 +69,47 @@
         self.places.get(&node).copied().unwrap_or(DEFAULT_PLACE)
     }
 
+    /// Adds a machine in the place of another one.
+    pub fn add_successor(&mut self, node: NodeId, of: NodeId) {
+        self.places.insert(node, self.place(of));
+        self.machines.push(node);
+    }
+
+    /// Removes a machine for good.
+    pub fn remove(&mut self, node: NodeId) {
+        self.machines.retain(|machine| *machine != node);
+    }
+
+    /// The names of all zones in which there are machines.
+    pub fn zones(&self) -> Vec<&'static str> {
+        self.names(|place| place.zone)
+    }
+
+    /// The names of all regions in which there are machines.
+    pub fn regions(&self) -> Vec<&'static str> {
+        self.names(|place| place.region)
+    }
+
+    fn names(&self, name: impl Fn(Place) -> &'static str) -> Vec<&'static str> {
+        let names: BTreeSet<&str> = self.machines.iter().map(|node| name(self.place(*node))).collect();
+        names.into_iter().collect()
+    }
+
+    /// The largest number of these nodes that a tolerated loss takes.
+    pub fn largest_loss(&self, nodes: &[NodeId]) -> usize {
+        let Tolerance { hosts, zones, regions } = self.tolerance;
+        let largest = |name: fn(Place) -> &'static str, count: usize| {
+            let mut sizes: BTreeMap<&str, usize> = BTreeMap::new();
+            nodes.iter().for_each(|node| *sizes.entry(name(self.place(*node))).or_default() += 1);
+            let mut sizes: Vec<usize> = sizes.into_values().collect();
+            sizes.sort_unstable();
+            sizes.iter().rev().take(count).sum::<usize>()
+        };
+        let in_zones = largest(|place| place.zone, zones);
+        let in_regions = largest(|place| place.region, regions);
+        hosts.min(nodes.len()).max(in_zones).max(in_regions)
+    }
+
     /// The machines of a zone.
     pub fn in_zone(&self, zone: &str) -> Vec<NodeId> {
         self.machines.iter().copied().filter(|node| self.place(*node).zone == zone).collect()
--- a/coordinator/tests/common/simulated_cluster.rs
+++ b/coordinator/tests/common/simulated_cluster.rs
@@ -592,6 +592,17 @@
         self.commit_change();
     }
 
+    /// Asserts that no tolerated loss takes more than a minority of the voters of any shard.
+    pub fn assert_voters_tolerate_losses(&self) {
+        for shard in self.shards() {
+            let leader = self.leader_of(shard);
+            let leader = leader.unwrap_or_else(|| panic!("shard {shard} has no leader: {}", self.describe()));
+            let voters = self.replica(leader, shard).voters().incoming();
+            let lost = self.deployment.largest_loss(voters);
+            assert!(lost * 2 < voters.len(), "shard {shard}: {lost} of {voters:?} may be lost");
+        }
+    }
+
     /// Describes the state in one line for each shard of each machine, for messages of failed assertions.
     pub fn describe(&self) -> String {
         let mut lines = vec![format!("at {}", self.now)];
