Play losses of whole zones in the in-memory fleet, and list the guards of the voters' places

Scenario zones: six or nine coordinators in three zones, seeds in one of them or spread; a zone loses power, its disks, is frozen or cut off, beside requests and changes.

--- a/coordinator/tests/common/simulated_cluster.rs
+++ b/coordinator/tests/common/simulated_cluster.rs
@@ -5,7 +5,7 @@
 
 use shaletrail_consensus::{Entry, Options, Payload, Record, Replica};
 use shaletrail_coordinator::core::Coordinator;
-use shaletrail_coordinator::interface::{Action, CallId, CoordinatorOptions, Event};
+use shaletrail_coordinator::interface::{Action, CallId, CoordinatorOptions, Event, StateChange};
 use shaletrail_protocol::internal::{CoordinatorMessage, OperatorCall, OperatorResponse};
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
 use shaletrail_storage::StoredRecord;
@@ -86,6 +86,8 @@
     responses: BTreeMap<CallId, OperatorResponse>,
     /// Whether each answered call of a server was acknowledged.
     server_responses: BTreeMap<CallId, bool>,
+    /// The logged changes of state, with the node that logged each.
+    state_changes: Vec<(NodeId, StateChange)>,
     random: u64,
     last_sequence: u64,
     last_call: u64,
@@ -148,6 +150,7 @@
             in_flight: BTreeMap::new(),
             responses: BTreeMap::new(),
             server_responses: BTreeMap::new(),
+            state_changes: Vec::new(),
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
             last_sequence: 0,
             last_call: 0,
@@ -398,6 +401,7 @@
             }
             Action::Checkpoint { live } => self.machine(node).synced = stored(live),
             Action::RespondToOperator { call, response } => _ = self.responses.insert(call, response),
+            Action::LogStateChange(change) => self.state_changes.push((node, change)),
             Action::RespondToServer { call, accepted } => _ = self.server_responses.insert(call, accepted),
             _ => {}
         }
@@ -543,6 +547,11 @@
         call
     }
 
+    /// Takes the changes of state that were logged since the last call.
+    pub fn take_state_changes(&mut self) -> Vec<(NodeId, StateChange)> {
+        std::mem::take(&mut self.state_changes)
+    }
+
     /// Returns the response to a call of the operator, if it has been answered.
     pub fn operator_response(&self, call: CallId) -> Option<&OperatorResponse> {
         self.responses.get(&call)
--- a/coordinator/tests/zone_loss.rs
+++ b/coordinator/tests/zone_loss.rs
@@ -4,9 +4,10 @@
 
 use common::deployment::{Deployment, Place, Tolerance};
 use common::simulated_cluster::SimulatedCluster;
-use common::{node, nodes};
+use common::{node, nodes, TICK};
 use shaletrail_coordinator::core::node_attributes::STREAM;
 use shaletrail_coordinator::core::shards::CONFIGURATION;
+use shaletrail_coordinator::interface::{Event, StateChange};
 use shaletrail_protocol::internal::CoordinatorMessage;
 use shaletrail_protocol::{Millis, NodeId};
 
@@ -273,3 +274,55 @@
         cluster.assert_available();
     }
 }
+
+/// Guards against a checkpoint of the journal that drops what a node knows about machines that are down.
+#[test]
+fn checkpoint_keeps_the_places_of_all_machines() {
+    // given
+    let mut cluster = settled(five_in_five_halls(), 1);
+    let (down, others) = cluster.choose(&cluster.running(), 1);
+    cluster.wipe(down[0]);
+
+    // when: all others write checkpoints and restart
+    for node in &others {
+        cluster.handle(*node, Event::Persisted { ticket: 0, wants_checkpoint: true });
+        cluster.run(TICK);
+        cluster.lose_power(*node);
+    }
+    others.iter().for_each(|node| cluster.start(*node));
+
+    // then
+    for node in others {
+        assert!(cluster.core(node).node_attributes().get(down[0]).is_some());
+    }
+}
+
+/// Guards against an unattainable tolerance that nobody hears of: it is logged once, and again when it changes.
+#[test]
+fn voters_that_do_not_tolerate_the_losses_are_logged_once() {
+    // given: two halls, of which one may be lost
+    let halls = [(HALLS[0], 3), (HALLS[1], 2)];
+    let deployment = Deployment::in_places(Tolerance { hosts: 2, zones: 1, regions: 0 }, &halls, &[1, 2, 4]);
+
+    // when
+    let mut cluster = SimulatedCluster::bootstrapped_in(deployment, 1);
+    cluster.run(SYNC);
+    let logged = cluster.take_state_changes();
+    cluster.run(SYNC);
+
+    // then
+    let leader = cluster.leader_of(CONFIGURATION).expect("the shard has a leader");
+    let last = logged.iter().rev().find_map(|(node, change)| match change {
+        StateChange::FaultToleranceChanged { shard: CONFIGURATION, assessment } if *node == leader => {
+            Some(assessment)
+        }
+        _ => None,
+    });
+    let assessment = last.expect("the assessment is logged");
+    assert_eq!((assessment.voters, assessment.minority, assessment.lost_with_zones), (5, 2, 3));
+    assert!(!assessment.is_tolerated());
+    let is_assessment =
+        |(_, change): &(NodeId, StateChange)| matches!(change, StateChange::FaultToleranceChanged { .. });
+    assert!(!cluster.take_state_changes().iter().any(is_assessment), "it has not changed since");
+    cluster.assert_available();
+}
--- a/simulation/src/fleet.rs
+++ b/simulation/src/fleet.rs
@@ -59,6 +59,12 @@
     pub web_servers: u8,
     /// Number of machines that may fail at once (`hostsLost`).
     pub hosts_lost: u32,
+    /// Number of zones over which coordinators are spread, one after the other.
+    pub zones: u8,
+    /// Number of zones that may fail at once (`faultTolerance.zones`).
+    pub zones_lost: u32,
+    /// Whether the seeds of the first start stand in one zone instead of being spread over the zones.
+    pub seeds_in_one_zone: bool,
     /// Least time between orders of two lease holders, in milliseconds (`leaseMs`).
     pub order_lease: Millis,
     /// Interval of a server's heartbeats, in milliseconds (`heartbeatMs`).
@@ -79,6 +85,9 @@
             initial_models: vec![vec![0, 1], vec![0, 2]],
             web_servers: 2,
             hosts_lost: 1,
+            zones: 1,
+            zones_lost: 0,
+            seeds_in_one_zone: false,
             order_lease: LEASE,
             heartbeat: 1_200,
             disk_latency: 0..=2,
@@ -150,7 +159,8 @@
             fleet.bootstrap.insert(*node);
         }
         fleet.published_lists = vec![(0, nodes.clone())];
-        let seeds: Vec<NodeId> = nodes.into_iter().take(SEEDS).collect();
+        let distance = if fleet.options.seeds_in_one_zone { usize::from(fleet.options.zones) } else { 1 };
+        let seeds: Vec<NodeId> = nodes.into_iter().step_by(distance).take(SEEDS).collect();
         let edges = (0..fleet.options.edges).map(fixtures::edge);
         for node in (0..fleet.options.coordinators).map(fixtures::coordinator).chain(edges) {
             fleet.seeds.insert(node, seeds.clone());
@@ -254,21 +264,28 @@
         self.world.contact.set_running(self.world.now, node, true);
     }
 
+    /// The number of the zone in which a machine stands.
+    pub fn zone(&self, node: NodeId) -> u32 {
+        node.0.wrapping_sub(fixtures::coordinator(0).0) % u32::from(self.options.zones)
+    }
+
     /// The settings of a machine, parsed from the text of a settings file as in production.
     fn settings(&self, node: NodeId) -> Settings {
         let seeds = self.seeds.get(&node).cloned().unwrap_or_default();
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:8146")).collect();
         let text = format!(
-            "nodeName=node-{node}\nip={node}\nzone=a\nephemeralPorts=7660,7675\nseedNodes={}\nbootstrap={}\n\
-             countsForQuorum={}\nheartbeatMs={}\nfaultTolerance.hostsLost={}\nbounds.drainMs={DRAIN}\n\
+            "nodeName=node-{node}\nip={node}\nzone=zone-{}\nephemeralPorts=7660,7675\nseedNodes={}\nbootstrap={}\n\
+             countsForQuorum={}\nheartbeatMs={}\nfaultTolerance.hostsLost={}\nfaultTolerance.zones={}\nbounds.drainMs={DRAIN}\n\
              bounds.convergenceMs={CONVERGENCE}\nbounds.leaseMs={}\nbounds.originWindowS={}\n\
              bounds.originOvershoot={ORIGIN_OVERSHOOT}\nbounds.retryRatio={RETRY_RATIO}\nbounds.retrySlack={RETRY_SLACK}\n\
              bounds.retryWindowS={}\n",
+            self.zone(node),
             seeds.join(","),
             self.bootstrap.contains(&node),
             self.disks.contains_key(&node),
             self.options.heartbeat,
             self.options.hosts_lost,
+            self.options.zones_lost,
             self.options.order_lease,
             ORIGIN_WINDOW / 1_000,
             RETRY_WINDOW / 1_000,
--- a/simulation/src/history.rs
+++ b/simulation/src/history.rs
@@ -13,6 +13,7 @@
 mod scenario;
 mod servers;
 mod traffic;
+mod zone_losses;
 
 pub use losses::{has_all_voters, is_fully_replicated};
 pub use mix::Mix;
--- a/simulation/src/history/scenario.rs
+++ b/simulation/src/history/scenario.rs
@@ -29,6 +29,9 @@
     /// Duplicated, delayed and reordered messages, and callers that restart while a call is in flight.
     #[strum(serialize = "calls")]
     MessageDisorder,
+    /// Losses of all coordinators of a zone at once.
+    #[strum(serialize = "zones")]
+    ZoneLosses,
 }
 
 impl Scenario {
@@ -45,12 +48,22 @@
     /// An invariant is violated, or the system does not return to service after the repairs.
     pub fn play_scenario(scenario: Scenario, seed: u64) -> Fleet {
         let large = seed % 3 == 2;
+        let size = if large { 2 } else { 1 };
+        let layout = match scenario {
+            Scenario::ZoneLosses => FleetOptions {
+                coordinators: if large { 9 } else { 6 },
+                zones: 3,
+                zones_lost: 1,
+                seeds_in_one_zone: seed.is_multiple_of(2),
+                ..FleetOptions::default()
+            },
+            _ => FleetOptions { coordinators: if large { 5 } else { 3 }, ..FleetOptions::default() },
+        };
         let options = FleetOptions {
-            coordinators: if large { 5 } else { 3 },
-            hosts_lost: if large { 2 } else { 1 },
+            hosts_lost: size,
             disk_latency: if seed.is_multiple_of(2) { 0..=2 } else { 3..=15 },
             seed: seed.wrapping_mul(8).wrapping_add(u64::from(scenario.number())),
-            ..FleetOptions::default()
+            ..layout
         };
         let coordinators = options.coordinators;
         let mut history = History::begin(Fleet::ready(options), Mix::requests_only(), coordinators);
@@ -60,6 +73,7 @@
             Scenario::Losses => history.play_losses(),
             Scenario::Crashes => history.play_crashes(),
             Scenario::MessageDisorder => history.play_disorder(),
+            Scenario::ZoneLosses => history.play_zone_losses(),
         }
         history.quiesce(RECOVERY_TIME);
         history.fleet.check();
--- a/simulation/tests/histories.rs
+++ b/simulation/tests/histories.rs
@@ -82,3 +82,8 @@
 fn message_disorder_keeps_invariants() {
     play_scenario(Scenario::MessageDisorder);
 }
+
+#[test]
+fn losses_of_zones_keep_invariants() {
+    play_scenario(Scenario::ZoneLosses);
+}
