Search for voters only when an input has changed; give the tests of reachable voters a place

Where the settings ask for more than the layout can bear, each review searched again, though nothing had changed. The removal of the guard absent-voter-only was not noticed, since voters without a known place do not move: the nodes of desired_voters.rs have one now, with the same assertions. Measured: tests of the coordinator's voters and zones pass.

--- a/cluster/src/node_attributes.rs
+++ b/cluster/src/node_attributes.rs
@@ -161,6 +161,11 @@
         self.records.get(&node).map(|record| &record.attributes)
     }
 
+    /// The version of the table, which each change increases.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Whether a node may vote. A node that has not announced its attributes may.
     pub fn counts_for_quorum(&self, node: NodeId) -> bool {
         self.get(node).is_none_or(|attributes| attributes.counts_for_quorum)
--- a/coordinator/src/core/mod.rs
+++ b/coordinator/src/core/mod.rs
@@ -20,7 +20,7 @@
 pub mod shutdown;
 pub mod voters;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use shaletrail_cluster::directory::{self, CallToken, Directory};
 use shaletrail_cluster::{membership, Membership, NodeAttributesTable};
@@ -37,7 +37,7 @@
 use polls::PendingPolls;
 use server_calls::LeavingSync;
 use shards::Shards;
-use voters::LoggedAssessments;
+use voters::ReviewMemory;
 
 /// The sans-IO state machine of a coordinator.
 pub struct Coordinator {
@@ -68,7 +68,8 @@
     /// When a failed checkpoint is written again; `None` if none has failed since the last attempt.
     checkpoint_retry_at: Option<Millis>,
     next_voter_review: Millis,
-    logged_assessments: LoggedAssessments,
+    /// What this node remembers of the last review of voters, for each shard that it leads.
+    voter_reviews: BTreeMap<u32, ReviewMemory>,
     /// The configuration version that was last passed to the order leases and logged.
     last_applied_version: u64,
     /// Actions from the recovery at start, returned with the first event.
@@ -120,7 +121,7 @@
             disk_degraded_until: 0,
             checkpoint_retry_at: None,
             next_voter_review: now,
-            logged_assessments: LoggedAssessments::default(),
+            voter_reviews: BTreeMap::new(),
             last_applied_version: 0,
             startup_actions,
             options,
--- a/coordinator/src/core/voters.rs
+++ b/coordinator/src/core/voters.rs
@@ -4,8 +4,6 @@
 pub mod selection;
 pub mod tolerance;
 
-use std::collections::BTreeMap;
-
 use shaletrail_cluster::node_attributes::NodeAttributes;
 use shaletrail_cluster::{Membership, NodeAttributesTable};
 use shaletrail_consensus::{Index, Replica};
@@ -35,34 +33,53 @@
     pub tolerance: FaultTolerance,
 }
 
-/// The assessments of the shards that this node leads, as far as they are logged.
+/// What the choice of voters depends on, besides the settings.
+#[derive(Debug, PartialEq, Eq)]
+struct SelectionInputs {
+    voters: Vec<NodeId>,
+    nodes: Vec<NodeState>,
+    /// The version of the table of attributes.
+    attributes_version: u64,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+struct NodeState {
+    node: NodeId,
+    unreachable: bool,
+    caught_up: bool,
+}
+
+/// What the leader of a shard remembers from one review of its voters to the next.
 #[derive(Debug, Default)]
-pub struct LoggedAssessments {
-    by_shard: BTreeMap<u32, LossAssessment>,
+pub struct ReviewMemory {
+    /// The inputs of the last selection, if it led to no change: the same inputs need not be searched again.
+    without_change: Option<SelectionInputs>,
+    /// The last assessment of the voters.
+    assessment: Option<LossAssessment>,
 }
 
-impl LoggedAssessments {
-    /// Records an assessment. Returns whether it is to be logged: it has changed, or is the first one and the losses are
-    /// not tolerated.
-    fn record(&mut self, shard: u32, assessment: LossAssessment) -> bool {
-        match self.by_shard.insert(shard, assessment) {
+impl ReviewMemory {
+    /// Records an assessment. Returns whether it is to be logged: it has changed, or is the first one, and the losses are
+    /// or were not all tolerated.
+    fn record(&mut self, assessment: LossAssessment) -> bool {
+        match self.assessment.replace(assessment) {
             Some(previous) => {
                 previous != assessment && !(previous.is_tolerated() && assessment.is_tolerated())
             }
             None => !assessment.is_tolerated(),
         }
     }
-
-    /// Forgets a shard that this node does not lead.
-    fn remove(&mut self, shard: u32) {
-        self.by_shard.remove(&shard);
-    }
 }
 
 /// Updates learners and voters at the leader of a shard from the membership: nodes that are alive become learners, dead
 /// learners are removed, and a change of voters is proposed if it is needed. Returns the voters after that change, if
 /// one was proposed.
-pub fn review(replica: &mut Replica, context: VoterContext<'_>, now: Millis) -> Option<Vec<NodeId>> {
+pub fn review(
+    replica: &mut Replica,
+    context: VoterContext<'_>,
+    memory: &mut ReviewMemory,
+    now: Millis,
+) -> Option<Vec<NodeId>> {
     let VoterContext { membership, attributes, tolerance } = context;
     let voters: Vec<NodeId> = replica.voters().members().collect();
     let mut known: Vec<NodeId> = membership.members().iter().map(|member| member.node).collect();
@@ -89,10 +106,27 @@
         attributes: attributes.get(node),
     };
     let candidates: Vec<Candidate> = known.into_iter().map(candidate).collect();
-    let desired = desired_voters(&voters, &candidates, tolerance)?;
+    let inputs = SelectionInputs::new(voters, &candidates, attributes.version());
+    if memory.without_change.as_ref() == Some(&inputs) {
+        return None;
+    }
+    let desired = desired_voters(&inputs.voters, &candidates, tolerance);
+    memory.without_change = desired.is_none().then_some(inputs);
+    let desired = desired?;
     replica.change_voters(now, desired.clone()).ok().map(|()| desired)
 }
 
+impl SelectionInputs {
+    fn new(voters: Vec<NodeId>, candidates: &[Candidate<'_>], attributes_version: u64) -> Self {
+        let state = |candidate: &Candidate| NodeState {
+            node: candidate.node,
+            unreachable: candidate.unreachable,
+            caught_up: candidate.caught_up,
+        };
+        SelectionInputs { voters, nodes: candidates.iter().map(state).collect(), attributes_version }
+    }
+}
+
 fn is_caught_up(replica: &Replica, node: NodeId) -> bool {
     replica.peer_status(node).is_some_and(|peer| {
         peer.counts_towards_quorum && peer.matched + MAX_LEARNER_LAG >= replica.commit_index()
@@ -108,7 +142,7 @@
         self.next_voter_review = now + VOTER_REVIEW_INTERVAL;
         for shard in self.shards.numbers() {
             let Some(replica) = self.shards.replica_mut(shard).filter(|replica| replica.is_leader()) else {
-                self.logged_assessments.remove(shard);
+                self.voter_reviews.remove(&shard);
                 continue;
             };
             let context = VoterContext {
@@ -116,11 +150,12 @@
                 attributes: &self.node_attributes,
                 tolerance: self.options.fault_tolerance,
             };
-            if let Some(target_voters) = review(replica, context, now) {
+            let memory = self.voter_reviews.entry(shard).or_default();
+            if let Some(target_voters) = review(replica, context, memory, now) {
                 actions.push(Action::LogStateChange(StateChange::VotersChanging { shard, target_voters }));
             } else if !replica.is_changing_voters() {
                 let assessment = assess_voters(replica, context);
-                if self.logged_assessments.record(shard, assessment) {
+                if memory.record(assessment) {
                     let change = StateChange::FaultToleranceChanged { shard, assessment };
                     actions.push(Action::LogStateChange(change));
                 }
--- a/coordinator/tests/desired_voters.rs
+++ b/coordinator/tests/desired_voters.rs
@@ -2,15 +2,21 @@
 
 mod common;
 
+use std::sync::LazyLock;
+
 use common::{node, nodes};
+use shaletrail_cluster::node_attributes::NodeAttributes;
 use shaletrail_coordinator::core::voters::selection::{desired_voters, Candidate};
 use shaletrail_protocol::settings::FaultTolerance;
 
 /// One machine may be lost, so that three are to vote.
 const ONE_HOST: FaultTolerance = FaultTolerance { hosts: 1, zones: 0, regions: 0 };
 
+/// The attributes of all nodes.
+static ATTRIBUTES: LazyLock<NodeAttributes> = LazyLock::new(|| NodeAttributes::new("a", "north", true));
+
 fn caught_up(number: u8) -> Candidate<'static> {
-    Candidate { node: node(number), unreachable: false, caught_up: true, attributes: None }
+    Candidate { node: node(number), unreachable: false, caught_up: true, attributes: Some(&ATTRIBUTES) }
 }
 
 fn lagging(number: u8) -> Candidate<'static> {
