Warn in settings check of losses that too few zones cannot tolerate

settings check prints one line for each of faultTolerance.zones and .regions that no placement can meet with the zones that the file names; the file stays valid, exit code 0.

--- a/coordinator/tests/zone_histories.rs
+++ b/coordinator/tests/zone_histories.rs
@@ -201,7 +201,7 @@
     let machines: usize = places.iter().map(|(_, count)| count).sum();
     // Three neighbours in the order of addresses, or machines that are far apart from each other.
     let first = (seed / 8) as usize % machines;
-    let distance = if seed % 3 == 0 { 1 } else { machines.div_ceil(3) };
+    let distance = if seed.is_multiple_of(3) { 1 } else { machines.div_ceil(3) };
     let number = |turn: usize| ((first + turn * distance) % machines + 1) as u8;
     let mut seeds: Vec<u8> = (0..3).map(number).collect();
     seeds.sort_unstable();
--- a/daemon/tests/command.rs
+++ b/daemon/tests/command.rs
@@ -174,6 +174,35 @@
     assert_eq!(output.stderr, "");
 }
 
+#[test]
+fn check_warns_of_losses_that_too_few_zones_cannot_tolerate() {
+    let places = "zones.hall-1=north\nzones.hall-2=north\nfaultTolerance.zones=1\nfaultTolerance.regions=1\n";
+    let file = settings_file(&test_folder("check-few-zones"), &format!("{COMMON_SETTINGS}{places}"));
+
+    let output = run(&["settings", "check", &file]);
+
+    assert_eq!(output.code, Some(0), "{output:?}");
+    let warning = |key: &str, present: usize| {
+        format!(
+            "{file}: warning: faultTolerance.{key}: 1 cannot be tolerated, this takes 3, and zones names {present}\n"
+        )
+    };
+    assert_eq!(output.stdout, format!("{file}: right\n{}{}", warning("zones", 2), warning("regions", 1)));
+}
+
+#[test]
+fn check_does_not_warn_of_losses_that_the_zones_allow() {
+    let places = "zones.hall-1=a\nzones.hall-2=b\nzones.hall-3=c\n";
+    let tolerance = "faultTolerance.zones=1\nfaultTolerance.regions=1\n";
+    for lines in [format!("{places}{tolerance}"), tolerance.to_owned()] {
+        let file = settings_file(&test_folder("check-zones"), &format!("{COMMON_SETTINGS}{lines}"));
+
+        let output = run(&["settings", "check", &file]);
+
+        assert_eq!(output.stdout, format!("{file}: right\n"));
+    }
+}
+
 #[test]
 fn check_ignores_unknown_keys() {
     let file = settings_file(
