--- a/coordinator/src/driver/coordinator_driver/log.rs
+++ b/coordinator/src/driver/coordinator_driver/log.rs
@@ -2,7 +2,7 @@
 
 use shaletrail_protocol::external::ServerReport;
 use shaletrail_storage::WriterEvent;
-use slog::{debug, info, o, warn, Logger};
+use slog::{debug, info, o, warn, Logger, Record, Serializer, KV};
 
 use crate::core::voters::tolerance::LossAssessment;
 use crate::driver::order_client::OutgoingOrder;
@@ -44,13 +44,25 @@
 }
 
 fn log_fault_tolerance(log: &Logger, shard: u32, assessment: &LossAssessment) {
-    let log = log.new(o!("shard" => shard, "voters" => assessment.voters, "minority" => assessment.minority,
-        "lost_with_hosts" => assessment.lost_with_hosts, "lost_with_zones" => assessment.lost_with_zones,
-        "lost_with_regions" => assessment.lost_with_regions));
+    let keys = AssessmentKeys(*assessment);
     if assessment.is_tolerated() {
-        info!(log, "voters of shard withstand the tolerated losses");
+        info!(log, "voters of shard withstand the tolerated losses"; "shard" => shard, keys);
     } else {
-        warn!(log, "voters of shard do not withstand the tolerated losses");
+        warn!(log, "voters of shard do not withstand the tolerated losses"; "shard" => shard, keys);
+    }
+}
+
+/// The numbers of an assessment, as keys of a log line.
+struct AssessmentKeys(LossAssessment);
+
+impl KV for AssessmentKeys {
+    fn serialize(&self, _record: &Record, serializer: &mut dyn Serializer) -> slog::Result {
+        let LossAssessment { voters, minority, lost_with_hosts, lost_with_zones, lost_with_regions } = self.0;
+        serializer.emit_usize("voters", voters)?;
+        serializer.emit_usize("minority", minority)?;
+        serializer.emit_usize("lost_with_hosts", lost_with_hosts)?;
+        serializer.emit_usize("lost_with_zones", lost_with_zones)?;
+        serializer.emit_usize("lost_with_regions", lost_with_regions)
     }
 }
 
--- a/coordinator/tests/driver_log.rs
+++ b/coordinator/tests/driver_log.rs
@@ -4,11 +4,16 @@
 use std::fmt;
 use std::sync::{Arc, Mutex};
 
+use shaletrail_coordinator::core::voters::tolerance::LossAssessment;
 use shaletrail_coordinator::driver::coordinator_driver::log::log_state_change;
 use shaletrail_coordinator::interface::StateChange;
 use shaletrail_protocol::NodeId;
 use slog::{o, Drain, Key, Logger, Never, OwnedKVList, Record, Serializer, KV};
 
+/// Five voters that withstand all losses that their settings name.
+const WITHSTANDS: LossAssessment =
+    LossAssessment { voters: 5, minority: 2, lost_with_hosts: 2, lost_with_zones: 1, lost_with_regions: 0 };
+
 /// Captures each line as its level, message and key-value pairs.
 #[derive(Default)]
 struct LogCapture(Mutex<Vec<String>>);
@@ -59,6 +64,19 @@
             StateChange::OrderLeaseAcquired { shard: 1, fencing_token: 4 },
             "INFO acquired order lease of shard fencing_token=4 shard=1",
         ),
+        (
+            StateChange::FaultToleranceChanged { shard: 1, assessment: WITHSTANDS },
+            "INFO voters of shard withstand the tolerated losses voters=5 minority=2 lost_with_hosts=2 \
+             lost_with_zones=1 lost_with_regions=0 shard=1",
+        ),
+        (
+            StateChange::FaultToleranceChanged {
+                shard: 1,
+                assessment: LossAssessment { lost_with_zones: 3, ..WITHSTANDS },
+            },
+            "WARN voters of shard do not withstand the tolerated losses voters=5 minority=2 lost_with_hosts=2 \
+             lost_with_zones=3 lost_with_regions=0 shard=1",
+        ),
         (StateChange::QuorumContactChanged(false), "WARN quorum contact changed has_contact=false"),
         (StateChange::UnreadableRecords { shard: 1 }, "WARN records of shard are unreadable shard=1"),
         (
--- a/protocol/src/settings/fault_tolerance.rs
+++ b/protocol/src/settings/fault_tolerance.rs
@@ -44,11 +44,6 @@
         })
     }
 
-    /// Whether the placement of voters over zones and regions matters.
-    pub fn depends_on_places(&self) -> bool {
-        self.zones > 0 || self.regions > 0
-    }
-
     /// The tolerated losses that no placement can withstand with this many zones and regions; without zones, none are
     /// known to be unattainable.
     pub(super) fn unattainable(&self, zones: usize, regions: usize) -> Vec<TooFewDomains> {
