Count only acknowledgements of the present table; pass the members that were just read

An acknowledgement of a higher version, late from an earlier run, was kept as the maximum, so that the real one never matched and the table was sent each 10 s for ever. The members were read twice per change; a closure of a test made a tuple for nothing.

--- a/cluster/src/node_attributes.rs
+++ b/cluster/src/node_attributes.rs
@@ -216,9 +216,11 @@
                 }
                 self.send_queue.push(from, AttributeMessage::Ack { version });
             }
+            // Of another version, it may be a late one to an earlier run of this process.
+            AttributeMessage::Ack { version } if version != self.version => {}
             AttributeMessage::Ack { version } => {
                 if let Some(progress) = self.peers.get_mut(&from) {
-                    progress.acknowledged_version = progress.acknowledged_version.max(version);
+                    progress.acknowledged_version = version;
                 }
             }
         }
--- a/cluster/tests/node_attributes.rs
+++ b/cluster/tests/node_attributes.rs
@@ -96,6 +96,25 @@
     assert_eq!(sent_at, [0, 250, 750, 1_750, 3_750, 7_750, 15_750, 25_750, 35_750, 45_750, 55_750]);
 }
 
+#[test]
+fn acknowledgement_to_an_earlier_run_does_not_count() {
+    // given: a table that a peer has not acknowledged
+    let mut left = table(A, "a");
+    left.set_peers(0, &[(B, Incarnation(2))]);
+    left.tick(0);
+    left.take_messages();
+
+    // when: a late acknowledgement of a higher version, and then its own
+    left.receive(1, B, AttributeMessage::Ack { version: u64::MAX });
+    left.tick(1_000);
+    assert!(matches!(left.take_messages()[..], [(B, AttributeMessage::Table { .. })]));
+    left.receive(1_001, B, AttributeMessage::Ack { version: left.version() });
+
+    // then
+    left.tick(LONG);
+    assert_eq!(left.take_messages(), []);
+}
+
 #[test]
 fn restarted_peer_receives_the_table_again() {
     let (mut left, mut right) = (table(A, "a"), table(B, "b"));
--- a/coordinator/src/core/node_attributes.rs
+++ b/coordinator/src/core/node_attributes.rs
@@ -5,7 +5,7 @@
 //! close the connection on a message of an unknown kind.
 
 use shaletrail_cluster::node_attributes::{AttributeRecord, NodeAttributes, NodeAttributesTable};
-use shaletrail_protocol::internal::{CoordinatorMessage, MemberState};
+use shaletrail_protocol::internal::{CoordinatorMessage, MemberRecord, MemberState};
 use shaletrail_protocol::settings::Settings;
 use shaletrail_protocol::{Incarnation, Millis, NodeId};
 use shaletrail_storage::StoredRecord;
@@ -46,8 +46,7 @@
     }
 
     /// Tells the table which nodes receive it, and which records it must keep.
-    pub(super) fn update_node_attribute_peers(&mut self, now: Millis) {
-        let members = self.membership.members();
+    pub(super) fn update_node_attribute_peers(&mut self, now: Millis, members: &[MemberRecord]) {
         let alive: Vec<(NodeId, Incarnation)> = members
             .iter()
             .filter(|member| member.state == MemberState::Alive)
--- a/coordinator/src/core/peer_versions.rs
+++ b/coordinator/src/core/peer_versions.rs
@@ -99,7 +99,7 @@
         let members = self.membership.members();
         let peers: Vec<NodeId> = members.iter().map(|member| member.node).collect();
         self.directory.set_peers(now, &peers);
-        self.update_node_attribute_peers(now);
+        self.update_node_attribute_peers(now, &members);
         let version = self.configuration_version();
         for member in members.iter().filter(|member| changed.contains(&member.node)) {
             self.directory.observe_peer_incarnation(now, member.node, member.incarnation);
--- a/coordinator/tests/voter_places.rs
+++ b/coordinator/tests/voter_places.rs
@@ -35,6 +35,15 @@
         Machine { number, attributes, unreachable: false, caught_up: true }
     }
 
+    fn candidate(&self) -> Candidate<'_> {
+        Candidate {
+            node: node(self.number),
+            unreachable: self.unreachable,
+            caught_up: self.caught_up,
+            attributes: self.attributes.as_ref(),
+        }
+    }
+
     fn down(self) -> Machine {
         Machine { unreachable: true, caught_up: false, ..self }
     }
@@ -59,14 +68,7 @@
 }
 
 fn desired(machines: &[Machine], voters: &[u8], tolerance: FaultTolerance) -> Option<Vec<NodeId>> {
-    let candidate = |machine: &Machine| (machine.number, machine.unreachable, machine.caught_up);
-    let candidates: Vec<Candidate> = machines
-        .iter()
-        .map(|machine| {
-            let (number, unreachable, caught_up) = candidate(machine);
-            Candidate { node: node(number), unreachable, caught_up, attributes: machine.attributes.as_ref() }
-        })
-        .collect();
+    let candidates: Vec<Candidate> = machines.iter().map(Machine::candidate).collect();
     desired_voters(&nodes(voters), &candidates, tolerance)
 }
 
