--- a/cluster/tests/wire_format.rs
+++ b/cluster/tests/wire_format.rs
@@ -11,7 +11,8 @@
 mod stored;
 
 use shaletrail_cluster::directory::{DirectoryMessage, Options, ServerDigest, ServerKey};
-use shaletrail_cluster::{rendezvous, Directory};
+use shaletrail_cluster::node_attributes::{AttributeMessage, AttributeRecord, NodeAttributes};
+use shaletrail_cluster::{rendezvous, Directory, NodeAttributesTable};
 use shaletrail_protocol::external::{Heartbeat, LoadedModel, ServerState};
 use shaletrail_protocol::internal::{PlacementOverlay, Presence, ServerRecord};
 use shaletrail_protocol::{Incarnation, NodeId};
@@ -84,6 +85,33 @@
     stored.finish();
 }
 
+#[test]
+fn node_attributes_keep_their_bytes() {
+    let mut stored = StoredBytes::read(include_str!("fixtures/node_attributes.txt"), "");
+    let record = |node: NodeId, revision: u64, zone: &str, counts: bool| AttributeRecord {
+        node,
+        revision,
+        attributes: NodeAttributes::new(zone, "north", counts),
+    };
+    let records =
+        vec![record(SELF, 0x0102_0304_0506_0708, "hall-a", true), record(PEER, 56, "hall-b", false)];
+
+    // The record in the journal.
+    let decode = |bytes: &[u8]| NodeAttributesTable::decode(bytes).expect("stored records decode");
+    stored.compare("record", &records, |records| bitcode::encode(records), decode);
+    let own = records[0].attributes.clone();
+    let restored = NodeAttributesTable::new(SELF, Incarnation(57), own, records.clone());
+    assert_eq!(restored.live_record(), Some(bitcode::encode(&records)));
+
+    // The messages.
+    let decode = |bytes: &[u8]| bitcode::decode(bytes).expect("stored messages decode");
+    let table = AttributeMessage::Table { version: 0x1112_1314_1516_1718, records };
+    stored.compare("table", &table, bitcode::encode, decode);
+    let ack = AttributeMessage::Ack { version: 0x2122_2324_2526_2728 };
+    stored.compare("ack", &ack, bitcode::encode, decode);
+    stored.finish();
+}
+
 #[test]
 fn hashes_of_servers_stay_the_same_in_every_version() {
     // given
