--- a/cluster/tests/wire_format.rs
+++ b/cluster/tests/wire_format.rs
@@ -98,7 +98,7 @@
 
     // The record in the journal.
     let decode = |bytes: &[u8]| NodeAttributesTable::decode(bytes).expect("stored records decode");
-    stored.compare("record", &records, |records| bitcode::encode(records), decode);
+    stored.compare("record", &records, bitcode::encode, decode);
     let own = records[0].attributes.clone();
     let restored = NodeAttributesTable::new(SELF, Incarnation(57), own, records.clone());
     assert_eq!(restored.live_record(), Some(bitcode::encode(&records)));
